--- /dev/null
+++ b/include/core/error.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <boost/outcome/result.hpp>
+#include <string_view>
+#include <system_error>
+
+namespace hornbeampick
+{
+
+/// Every failure the system itself reports. Values travel between processes: append only.
+enum class errc {
+    ok = 0,
+    // Input.
+    malformedRequest = 1,
+    unknownService = 2,
+    missingKey = 3,
+    missingEpoch = 4,
+    malformedEpoch = 5,
+    keyReused = 6,
+    bodyTooLarge = 7,
+    headerTooLarge = 8,
+    unknownPath = 9,
+    malformedAnnouncement = 10,
+    // Request path.
+    noUpstream = 20,
+    overloaded = 21,
+    deadlineExceeded = 22,
+    upstreamFailed = 23,
+    upstreamShed = 24,
+    capReached = 25,
+    quarantined = 26,
+    stopping = 27,
+    peerUnreachable = 28,
+    notOwner = 29,
+    retryBudgetSpent = 30,
+    callerLeft = 31,
+    // Claims.
+    claimHeld = 40,
+    claimUnavailable = 41,
+    epochClosed = 42,
+    answerNotKept = 43,
+    // Rules and the replicated log.
+    rulesInvalid = 60,
+    versionConflict = 61,
+    notLeader = 62,
+    noQuorum = 63,
+    notAVoter = 64,
+    configBusy = 65,
+    // Storage.
+    ioFailed = 80,
+    corruptRecord = 81,
+    unsupportedFormat = 82,
+    diskFull = 83,
+    // Settings and the command line.
+    settingsInvalid = 100,
+    fileUnreadable = 101,
+    usage = 102,
+    unreachable = 103,
+    timedOut = 104,
+    notInForceEverywhere = 105,
+    tlsFailed = 106,
+};
+
+/// Category of `errc`, named "hornbeampick".
+const std::error_category &errorCategory() noexcept;
+
+/// Finds `errc` for std::error_code.
+std::error_code make_error_code(errc value) noexcept;
+
+/// Stable kebab-case code of a failure, as it stands in JSON errors and in the docs.
+std::string_view errorCode(errc value) noexcept;
+
+template <typename T> using result = boost::outcome_v2::result<T, std::error_code>;
+
+/// Success, or why there was none.
+using status = boost::outcome_v2::result<void, std::error_code>;
+
+inline auto success()
+{
+    return boost::outcome_v2::success();
+}
+
+} // namespace hornbeampick
+
+template <> struct std::is_error_code_enum<hornbeampick::errc> : std::true_type {
+};
