--- /dev/null
+++ b/include/codec/peer_codec.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "codec/replica_codec.h"
+#include "rpc/peer_types.h"
+#include "steering/poison_registry.h"
+
+#include "peer.pb.h"
+
+namespace hornbeampick
+{
+
+/// Conversions between the daemons' own types and the messages between them. Decoding never fails.
+
+schema::member encode(const fleet_member &value);
+schema::upstream encode(const upstream_report &value);
+schema::exchange_request encode(const exchange_message &value);
+schema::exchange_reply encodeReply(const exchange_message &value);
+schema::forward_request encode(const forward_message &value);
+schema::forward_reply encode(const forward_result &value);
+schema::claim_request encode(const claim_request &value);
+schema::claim_reply encode(const claim_reply &value);
+schema::poison_notice encode(const upstream_death &value);
+schema::status_reply encode(const host_status &value);
+schema::fleet_status_reply encode(const fleet_status &value);
+schema::explain_reply encode(const steering_explanation &value);
+schema::loads_reply encode(const std::vector<service_region_load> &value);
+
+fleet_member decode(const schema::member &value);
+upstream_report decode(const schema::upstream &value);
+exchange_message decode(const schema::exchange_request &value);
+exchange_message decode(const schema::exchange_reply &value);
+/// The deadline is counted from `now`.
+forward_message decode(const schema::forward_request &value, steady_time now);
+forward_result decode(const schema::forward_reply &value);
+/// A malformed epoch becomes one that no member knows.
+claim_request decode(const schema::claim_request &value);
+claim_reply decode(const schema::claim_reply &value);
+upstream_death decode(const schema::poison_notice &value);
+host_status decode(const schema::status_reply &value);
+fleet_status decode(const schema::fleet_status_reply &value);
+steering_explanation decode(const schema::explain_reply &value);
+std::vector<service_region_load> decode(const schema::loads_reply &value);
+
+} // namespace hornbeampick
--- /dev/null
+++ b/include/daemon/await_callback.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/associated_executor.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace hornbeampick
+{
+
+/// Waits in a coroutine for a callback that any thread may call, once.
+///
+/// `start` is given the callback; the coroutine goes on in its own executor. It must be a named object in the
+/// caller: g++ 12 destroys a capturing lambda twice when it is a temporary of the awaiting expression.
+template <typename T, typename Start> boost::asio::awaitable<T> awaitCallback(Start start)
+{
+    namespace asio = boost::asio;
+    auto initiate = [start = std::move(start)](auto handler) mutable {
+        auto executor = asio::get_associated_executor(handler);
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        auto work = asio::make_work_guard(executor);
+        start(std::function<void(T)>([shared, executor, work](T value) {
+            asio::post(executor, [shared, value = std::move(value)]() mutable { std::move (*shared)(std::move(value)); });
+        }));
+    };
+    return asio::async_initiate<const asio::use_awaitable_t<>, void(T)>(std::move(initiate), asio::use_awaitable);
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/include/observe/metrics.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/names.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace hornbeampick
+{
+
+/// Counters, gauges and histograms of one daemon, in Prometheus' text form. Thread-safe.
+class metrics
+{
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics &) = delete;
+    metrics &operator=(const metrics &) = delete;
+
+    /// Time a hop of a request took: entry, forward, claim or attempt.
+    void observeHop(const service_name &service, std::string_view hop, microseconds taken);
+    /// An answer given to a caller; `code` is "answered" or the code of the refusal.
+    void countAnswer(const service_name &service, std::string_view code);
+    void countRetry(const service_name &service);
+    void countClaim(std::string_view outcome);
+    void countLookup(const service_name &service);
+    /// Control work by mechanism: exchange, spread, replica, claim, announce.
+    void countControl(std::string_view mechanism, std::size_t bytes);
+    void setHeadroom(const service_name &service, const region_name &region, double freeSlots);
+    void setRuleVersion(std::uint64_t version);
+    void setReplicaRole(std::string_view role);
+    void setMembers(std::string_view state, std::size_t count);
+    void observeDrain(std::string_view target, milliseconds taken);
+
+    [[nodiscard]] std::string text() const;
+
+private:
+    struct families;
+    std::unique_ptr<families> m_families;
+};
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/claims/epoch_keeper.cpp
@@ -0,0 +1,120 @@
+#include "claims/epoch_keeper.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+const claim_epoch *newestOf(std::span<const claim_epoch> epochs, const region_name &region)
+{
+    const claim_epoch *newest = nullptr;
+    for (const auto &epoch : epochs) {
+        if (epoch.region == region && (newest == nullptr || epoch.number > newest->number)) {
+            newest = &epoch;
+        }
+    }
+    return newest;
+}
+
+bool holds(std::span<const epoch_member> group, const host_name &host)
+{
+    return std::ranges::find(group, host, &epoch_member::host) != group.end();
+}
+
+// The member of `former` that is still the same process, else the one a stable hash picks.
+const fleet_member *pick(std::span<const fleet_member *const> candidates, const claim_epoch *former, std::string_view seat)
+{
+    const fleet_member *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const auto *candidate : candidates) {
+        if (former != nullptr) {
+            const auto kept = std::ranges::find(former->members, candidate->host, &epoch_member::host);
+            if (kept != former->members.end() && kept->incarnation == candidate->incarnation) {
+                return candidate;
+            }
+        }
+        const std::uint64_t weight = stableHash(candidate->host.view(), stableHash(seat));
+        if (best == nullptr || weight > bestWeight) {
+            best = candidate;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+epoch_keeper::epoch_keeper(const topology &fleet, const epoch_keeper_options &options)
+    : m_fleet(fleet)
+    , m_options(options)
+{
+}
+
+std::optional<claim_epoch> epoch_keeper::next(std::span<const claim_epoch> epochs, std::span<const fleet_member> members, wall_ms now) const
+{
+    for (const auto &region : m_fleet.regions()) {
+        const auto *newest = newestOf(epochs, region.name);
+        if (newest != nullptr && isSound(*newest, members, now)) {
+            continue;
+        }
+        auto group = chooseGroup(region, newest, members);
+        const bool complete = group.size() == groupSize;
+        const bool same = newest != nullptr && newest->members == group && now < newest->openedAt + m_options.epochLength.count();
+        if (!complete || same) {
+            continue;
+        }
+        return claim_epoch{
+            .region = region.name,
+            .number = newest == nullptr ? 1 : newest->number + 1,
+            .members = std::move(group),
+            .openedAt = now,
+        };
+    }
+    return std::nullopt;
+}
+
+bool epoch_keeper::isSound(const claim_epoch &epoch, std::span<const fleet_member> members, wall_ms now) const
+{
+    const bool young = now < epoch.openedAt + m_options.epochLength.count();
+    return young && std::ranges::all_of(epoch.members, [&](const epoch_member &member) {
+               const auto found = std::ranges::find(members, member.host, &fleet_member::host);
+               return found != members.end() && found->serves() && found->incarnation == member.incarnation;
+           });
+}
+
+std::vector<epoch_member> epoch_keeper::chooseGroup(const region_domains &region, const claim_epoch *former, std::span<const fleet_member> members) const
+{
+    std::vector<epoch_member> group;
+    const auto add = [&](std::string_view seat, auto wanted) {
+        std::vector<const fleet_member *> candidates;
+        for (const auto &member : members) {
+            if (member.state == member_state::alive && !holds(group, member.host) && wanted(member)) {
+                candidates.push_back(&member);
+            }
+        }
+        if (const auto *chosen = pick(candidates, former, seat)) {
+            group.push_back({ .host = chosen->host, .incarnation = chosen->incarnation, .address = chosen->rpcAddress });
+        }
+    };
+    // One seat stays outside, so that the region's own hosts alone are no more than a majority.
+    for (const auto &domain : region.domains) {
+        if (group.size() + 1 < groupSize) {
+            add(domain.view(), [&](const fleet_member &member) { return member.domain == domain; });
+        }
+    }
+    while (group.size() < groupSize) {
+        const std::size_t before = group.size();
+        add(region.name.view(), [&](const fleet_member &member) { return member.region != region.name; });
+        if (group.size() == before) {
+            break;
+        }
+    }
+    return group;
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/codec/replica_codec.cpp
@@ -0,0 +1,315 @@
+#include "codec/replica_codec.h"
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+constexpr std::uint32_t snapshotFormat = 1;
+
+template <typename... Handlers> struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+// Encodes every value of `from` into the repeated field `to`.
+template <typename From, typename To> void encodeAll(const From &from, To *to)
+{
+    for (const auto &value : from) {
+        *to->Add() = encode(value);
+    }
+}
+
+template <typename To, typename From> std::vector<To> decodeAll(const From &from)
+{
+    std::vector<To> values;
+    values.reserve(static_cast<std::size_t>(from.size()));
+    for (const auto &value : from) {
+        values.push_back(decode(value));
+    }
+    return values;
+}
+
+} // namespace
+
+schema::history_record encode(const history_record &value)
+{
+    schema::history_record message;
+    message.set_version(value.version);
+    message.set_digest(value.content.bytes());
+    message.set_operator_name(value.operatorName);
+    message.set_accepted_at_ms(static_cast<std::uint64_t>(value.acceptedAt));
+    return message;
+}
+
+history_record decode(const schema::history_record &value)
+{
+    return {
+        .version = value.version(),
+        .content = digestFromBytes(value.digest()),
+        .operatorName = value.operator_name(),
+        .acceptedAt = static_cast<wall_ms>(value.accepted_at_ms()),
+    };
+}
+
+schema::epoch_member encode(const epoch_member &value)
+{
+    schema::epoch_member message;
+    message.set_host(value.host.string());
+    message.set_incarnation(value.incarnation);
+    message.set_address(value.address);
+    return message;
+}
+
+epoch_member decode(const schema::epoch_member &value)
+{
+    return { .host = host_name(value.host()), .incarnation = value.incarnation(), .address = value.address() };
+}
+
+schema::replica_id encode(const replica_id &value)
+{
+    schema::replica_id message;
+    message.set_host(value.host.string());
+    message.set_disk(value.disk);
+    message.set_address(value.address);
+    return message;
+}
+
+replica_id decode(const schema::replica_id &value)
+{
+    return { .host = host_name(value.host()), .disk = value.disk(), .address = value.address() };
+}
+
+schema::replica_config encode(const replica_config &value)
+{
+    schema::replica_config message;
+    encodeAll(value.voters, message.mutable_voters());
+    encodeAll(value.learners, message.mutable_learners());
+    return message;
+}
+
+replica_config decode(const schema::replica_config &value)
+{
+    return { .voters = decodeAll<replica_id>(value.voters()), .learners = decodeAll<replica_id>(value.learners()) };
+}
+
+schema::rules_change encode(const rules_change &value)
+{
+    schema::rules_change message;
+    message.set_version(value.version);
+    message.set_text(value.text);
+    message.set_operator_name(value.operatorName);
+    message.set_submitted_at_ms(static_cast<std::uint64_t>(value.submittedAt));
+    message.set_digest(value.content.bytes());
+    return message;
+}
+
+rules_change decode(const schema::rules_change &value)
+{
+    return {
+        .version = value.version(),
+        .text = value.text(),
+        .operatorName = value.operator_name(),
+        .submittedAt = static_cast<wall_ms>(value.submitted_at_ms()),
+        .content = digestFromBytes(value.digest()),
+    };
+}
+
+schema::claim_epoch encode(const claim_epoch &value)
+{
+    schema::claim_epoch message;
+    message.set_region(value.region.string());
+    message.set_number(value.number);
+    message.set_opened_at_ms(static_cast<std::uint64_t>(value.openedAt));
+    encodeAll(value.members, message.mutable_members());
+    return message;
+}
+
+claim_epoch decode(const schema::claim_epoch &value)
+{
+    return {
+        .region = region_name(value.region()),
+        .number = value.number(),
+        .members = decodeAll<epoch_member>(value.members()),
+        .openedAt = static_cast<wall_ms>(value.opened_at_ms()),
+    };
+}
+
+schema::log_entry encode(const log_entry &value)
+{
+    schema::log_entry message;
+    message.set_index(value.index);
+    message.set_term(value.term);
+    std::visit(overloaded{
+                   [&](const barrier_entry &) { message.set_kind(schema::entry_barrier); },
+                   [&](const rules_change &body) {
+                       message.set_kind(schema::entry_rules);
+                       *message.mutable_rules() = encode(body);
+                   },
+                   [&](const claim_epoch &body) {
+                       message.set_kind(schema::entry_epoch);
+                       *message.mutable_epoch() = encode(body);
+                   },
+                   [&](const replica_config &body) {
+                       message.set_kind(schema::entry_config);
+                       *message.mutable_config() = encode(body);
+                   },
+               },
+               value.body);
+    return message;
+}
+
+log_entry decode(const schema::log_entry &value)
+{
+    log_entry entry{ .index = value.index(), .term = value.term(), .body = barrier_entry{} };
+    switch (value.kind()) {
+    case schema::entry_rules:
+        entry.body = decode(value.rules());
+        break;
+    case schema::entry_epoch:
+        entry.body = decode(value.epoch());
+        break;
+    case schema::entry_config:
+        entry.body = decode(value.config());
+        break;
+    default:
+        break;
+    }
+    return entry;
+}
+
+schema::ledger_state encode(const ledger_state &value)
+{
+    schema::ledger_state message;
+    message.set_version(value.version);
+    message.set_text(value.text);
+    message.set_digest(value.content.bytes());
+    message.set_operator_name(value.operatorName);
+    encodeAll(value.history, message.mutable_history());
+    encodeAll(value.epochs, message.mutable_epochs());
+    message.set_applied_index(value.appliedIndex);
+    return message;
+}
+
+ledger_state decode(const schema::ledger_state &value)
+{
+    return {
+        .version = value.version(),
+        .text = value.text(),
+        .content = digestFromBytes(value.digest()),
+        .operatorName = value.operator_name(),
+        .history = decodeAll<history_record>(value.history()),
+        .epochs = decodeAll<claim_epoch>(value.epochs()),
+        .appliedIndex = value.applied_index(),
+    };
+}
+
+schema::snapshot_record encode(const replica_snapshot &value)
+{
+    schema::snapshot_record message;
+    message.set_format(snapshotFormat);
+    message.set_index(value.index);
+    message.set_term(value.term);
+    *message.mutable_config() = encode(value.config);
+    *message.mutable_state() = encode(value.state);
+    return message;
+}
+
+replica_snapshot decode(const schema::snapshot_record &value)
+{
+    return { .index = value.index(), .term = value.term(), .config = decode(value.config()), .state = decode(value.state()) };
+}
+
+schema::replica_message encode(const replica_message &value)
+{
+    schema::replica_message message;
+    message.set_kind(static_cast<schema::replica_message_kind>(value.kind));
+    *message.mutable_from() = encode(value.from);
+    message.set_to_disk(value.to.disk);
+    message.set_term(value.term);
+    message.set_last_index(value.lastIndex);
+    message.set_last_term(value.lastTerm);
+    message.set_commit_index(value.commitIndex);
+    message.set_granted(value.granted);
+    encodeAll(value.entries, message.mutable_entries());
+    if (value.snapshot) {
+        *message.mutable_snapshot() = encode(*value.snapshot);
+    }
+    return message;
+}
+
+replica_message decode(const schema::replica_message &value)
+{
+    replica_message message{
+        .kind = static_cast<replica_message_kind>(value.kind()),
+        .from = decode(value.from()),
+        .to = { .host = {}, .disk = value.to_disk(), .address = {} },
+        .term = value.term(),
+        .lastIndex = value.last_index(),
+        .lastTerm = value.last_term(),
+        .commitIndex = value.commit_index(),
+        .granted = value.granted(),
+        .entries = decodeAll<log_entry>(value.entries()),
+        .snapshot = std::nullopt,
+    };
+    if (value.has_snapshot()) {
+        message.snapshot = decode(value.snapshot());
+    }
+    return message;
+}
+
+schema::form_request encode(const form_request &value)
+{
+    schema::form_request message;
+    *message.mutable_sender() = encode(value.sender);
+    if (value.config) {
+        *message.mutable_config() = encode(*value.config);
+    }
+    message.set_join(value.join);
+    return message;
+}
+
+form_request decode(const schema::form_request &value)
+{
+    form_request request{ .sender = decode(value.sender()), .config = std::nullopt, .join = value.join() };
+    if (value.has_config()) {
+        request.config = decode(value.config());
+    }
+    return request;
+}
+
+schema::form_reply encode(const form_reply &value)
+{
+    schema::form_reply message;
+    message.set_formed(value.formed);
+    *message.mutable_self() = encode(value.self);
+    *message.mutable_config() = encode(value.config);
+    return message;
+}
+
+form_reply decode(const schema::form_reply &value)
+{
+    return { .formed = value.formed(), .self = decode(value.self()), .config = decode(value.config()) };
+}
+
+schema::submit_reply encode(const submit_result &value)
+{
+    schema::submit_reply message;
+    message.set_error(static_cast<int>(value.error));
+    message.set_version(value.version);
+    message.set_winner_digest(value.winner.bytes());
+    message.set_winner_operator(value.winnerOperator);
+    return message;
+}
+
+submit_result decode(const schema::submit_reply &value)
+{
+    return {
+        .error = static_cast<errc>(value.error()),
+        .version = value.version(),
+        .winner = digestFromBytes(value.winner_digest()),
+        .winnerOperator = value.winner_operator(),
+    };
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/daemon/fleet_agent.cpp
@@ -0,0 +1,342 @@
+#include "daemon/fleet_agent.h"
+
+#include "core/digest.h"
+#include "daemon/await_callback.h"
+#include "fleet/spread_tree.h"
+#include "observe/log.h"
+#include "steering/ownership.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr milliseconds fetchTimeout{ 5000 };
+constexpr milliseconds poisonTimeout{ 300 };
+// Changes of upstreams are passed on for this long; digests repair what is missed.
+constexpr milliseconds upstreamFreshFor{ 5000 };
+// Largest fleet whose whole table is sent at the first difference of digests.
+constexpr std::size_t wholeTableMembers = 64;
+// Most peers told of a poisoned request by one host.
+constexpr std::size_t poisonTold = 512;
+
+// What other hosts must know of an upstream. Its load is the owner's matter alone.
+std::uint64_t digestOfReport(const upstream_report &report)
+{
+    return stableHash(report.instance.view(), report.incarnation * 8 + static_cast<std::uint64_t>(report.state));
+}
+
+bool differsForOthers(const upstream_report &a, const upstream_report &b)
+{
+    return a.incarnation != b.incarnation || a.state != b.state || a.address != b.address || a.slots != b.slots;
+}
+
+} // namespace
+
+fleet_agent::fleet_agent(const fleet_agent_parts &parts, const fleet_agent_options &options)
+    : m_parts(parts)
+    , m_options(options)
+    , m_planner(parts.self.host, options.seeds, {})
+{
+}
+
+asio::awaitable<void> fleet_agent::run()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!m_stopped) {
+        const auto now = m_parts.clock.now();
+        m_parts.members.tick(now);
+        place();
+        placeCapSeat();
+        const auto members = m_parts.members.members();
+        const auto watch = watched();
+        for (const auto &target : m_planner.round(members, watch, m_parts.random)) {
+            exchangeWith(target);
+        }
+        timer.expires_after(m_options.exchangeEvery);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+void fleet_agent::stop()
+{
+    m_stopped = true;
+}
+
+exchange_message fleet_agent::onExchange(const exchange_message &message)
+{
+    take(message);
+    const bool small = m_parts.members.members().size() <= wholeTableMembers;
+    const bool membersDiffer = message.membersDigest != m_parts.members.tableDigest();
+    const bool sameRegion = message.sender.region == m_parts.self.region;
+    const bool upstreamsDiffer = sameRegion && message.upstreamsDigest != upstreamsDigest();
+    auto reply = makeMessage(message.wantAll || (small && membersDiffer) || upstreamsDiffer);
+    if (!sameRegion) {
+        reply.upstreams.clear();
+    }
+    return reply;
+}
+
+void fleet_agent::onNotice(const rules_notice &notice)
+{
+    if (notice.appliedIndex > m_parts.rules.state()->appliedIndex) {
+        fetchFrom(notice.tellerAddress, notice.root);
+    }
+}
+
+void fleet_agent::onAnnounce(const upstream_report &report, bool relay)
+{
+    const auto owner = ownerOfUpstream(report);
+    const auto region = m_parts.fleet.regionOf(report.domain);
+    if (region == m_parts.self.region) {
+        const auto before = m_parts.gate.reports();
+        const auto known = std::ranges::find(before, report.instance, &upstream_report::instance);
+        if (known == before.end() || differsForOthers(*known, report)) {
+            const std::lock_guard guard(m_freshLock);
+            m_fresh[report.instance] = { .report = report, .changedAt = m_parts.clock.now() };
+        }
+        m_parts.gate.announce(report, true);
+        if (known == before.end()) {
+            place();
+        }
+    }
+    if (!relay || !owner || *owner == m_parts.self.host) {
+        return;
+    }
+    if (const auto host = m_parts.members.find(*owner)) {
+        m_parts.peers.relayAnnounce(host->rpcAddress, report);
+    }
+}
+
+void fleet_agent::onLedger(const ledger_state &state, bool leads)
+{
+    if (m_parts.rules.update(state) && leads) {
+        notifyChildren(m_parts.self.host);
+    }
+}
+
+asio::awaitable<void> fleet_agent::spread(const upstream_death &death)
+{
+    std::vector<fleet_member> told;
+    for (const auto &member : m_parts.members.members()) {
+        if (member.host != m_parts.self.host && member.serves() && told.size() < poisonTold) {
+            told.push_back(member);
+        }
+    }
+    if (told.empty()) {
+        co_return;
+    }
+    auto start = [this, told, death](std::function<void(bool)> done) {
+        auto left = std::make_shared<std::atomic<std::size_t>>(told.size());
+        for (const auto &member : told) {
+            m_parts.peers.reportPoison(member.rpcAddress, death, poisonTimeout, [left, done](const result<bool> &) {
+                if (left->fetch_sub(1) == 1) {
+                    done(true);
+                }
+            });
+        }
+    };
+    co_await awaitCallback<bool>(std::move(start));
+}
+
+std::optional<host_name> fleet_agent::ownerOfUpstream(const upstream_report &report) const
+{
+    return ownerOf(report.instance.view(), candidatesFor(report.domain));
+}
+
+bool fleet_agent::knowsDomain(const domain_name &domain) const
+{
+    return m_parts.fleet.regionOf(domain).has_value();
+}
+
+bool fleet_agent::isCutOff() const
+{
+    bool othersKnown = false;
+    for (const auto &member : m_parts.members.members()) {
+        othersKnown = othersKnown || member.domain != m_parts.self.domain;
+    }
+    const auto heard = m_parts.members.heardWithin(m_options.cutOffAfter, m_parts.clock.now());
+    const bool othersHeard = std::ranges::any_of(heard, [&](const fleet_member &member) { return member.domain != m_parts.self.domain; });
+    return othersKnown && !othersHeard;
+}
+
+std::size_t fleet_agent::reachableOf(const claim_group &group) const
+{
+    const auto heard = m_parts.members.heardWithin(m_options.cutOffAfter, m_parts.clock.now());
+    const auto reachable = std::ranges::count_if(group.members, [&](const epoch_member &member) {
+        return std::ranges::any_of(heard, [&](const fleet_member &each) { return each.host == member.host && each.incarnation == member.incarnation; });
+    });
+    return static_cast<std::size_t>(reachable);
+}
+
+exchange_message fleet_agent::makeMessage(bool whole) const
+{
+    const auto now = m_parts.clock.now();
+    exchange_message message;
+    message.sender = m_parts.members.self();
+    message.members = whole ? m_parts.members.members() : m_parts.members.fresh(now);
+    message.membersDigest = m_parts.members.tableDigest();
+    message.upstreamsDigest = upstreamsDigest();
+    message.appliedIndex = m_parts.rules.state()->appliedIndex;
+    message.loads = m_parts.gate.loads();
+    if (whole) {
+        message.upstreams = m_parts.gate.reports();
+        return message;
+    }
+    const std::lock_guard guard(m_freshLock);
+    for (const auto &[instance, fresh] : m_fresh) {
+        if (now < fresh.changedAt + upstreamFreshFor) {
+            message.upstreams.push_back(fresh.report);
+        }
+    }
+    return message;
+}
+
+void fleet_agent::exchangeWith(const exchange_target &target)
+{
+    auto message = makeMessage(false);
+    const auto known = m_parts.members.find(target.host);
+    if (!known || known->region != m_parts.self.region) {
+        message.upstreams.clear();
+    }
+    m_parts.peers.exchange(target.address, message, m_options.exchangeTimeout, [this, target](const result<exchange_message> &reply) {
+        if (m_stopped) {
+            return;
+        }
+        if (!reply) {
+            m_parts.members.onMissed(target.host, m_parts.clock.now());
+            return;
+        }
+        take(reply.value());
+    });
+}
+
+void fleet_agent::take(const exchange_message &message)
+{
+    const auto now = m_parts.clock.now();
+    const auto before = m_parts.members.revision();
+    m_parts.members.merge(message.sender, now);
+    for (const auto &member : message.members) {
+        m_parts.members.merge(member, now);
+    }
+    m_parts.members.onHeard(message.sender.host, now);
+    for (const auto &load : message.loads) {
+        m_parts.loads.onReport(load.service, message.sender.host, message.sender.region, load.load, now);
+    }
+    if (message.sender.region == m_parts.self.region) {
+        for (const auto &report : message.upstreams) {
+            m_parts.gate.announce(report, false);
+        }
+    }
+    if (before != m_parts.members.revision() || !message.upstreams.empty()) {
+        place();
+    }
+    if (message.appliedIndex > m_parts.rules.state()->appliedIndex) {
+        fetchFrom(message.sender.rpcAddress, {});
+    }
+}
+
+std::uint64_t fleet_agent::upstreamsDigest() const
+{
+    std::uint64_t total = 0;
+    for (const auto &report : m_parts.gate.reports()) {
+        total ^= digestOfReport(report);
+    }
+    return total;
+}
+
+void fleet_agent::fetchFrom(const std::string &address, const host_name &root)
+{
+    if (m_fetching.exchange(true)) {
+        return;
+    }
+    const auto have = m_parts.rules.state()->appliedIndex;
+    m_parts.peers.fetchRules(address, have, fetchTimeout, [this, root](const result<std::optional<ledger_state>> &reply) {
+        m_fetching = false;
+        const bool updated = reply && reply.value() && m_parts.rules.update(*reply.value());
+        if (updated && !root.empty()) {
+            notifyChildren(root);
+        }
+    });
+}
+
+void fleet_agent::notifyChildren(const host_name &root)
+{
+    const auto self = m_parts.members.self();
+    const rules_notice notice{ .appliedIndex = m_parts.rules.state()->appliedIndex, .root = root, .tellerAddress = self.rpcAddress };
+    for (const auto &child : spreadChildren(m_parts.members.members(), self.host, root, m_options.spreadFanout)) {
+        m_parts.peers.notifyRules(child.rpcAddress, notice);
+    }
+}
+
+void fleet_agent::place()
+{
+    const auto rules = m_parts.rules.rules();
+    const wall_ms wallNow = m_parts.clock.wallNow();
+    m_parts.gate.place([&](const upstream_report &report) -> request_gate::placement {
+        const auto owner = ownerOfUpstream(report);
+        const auto members = m_parts.members.members();
+        const bool shared
+            = std::ranges::any_of(members, [&](const fleet_member &member) { return member.host != m_parts.self.host && member.domain == report.domain; });
+        const bool drained = rules
+            && (rules->isDrained(drain_target::upstream, report.instance.view(), wallNow)
+                || rules->isDrained(drain_target::failureDomain, report.domain.view(), wallNow)
+                || rules->isDrained(drain_target::region, m_parts.self.region.view(), wallNow));
+        return { .owned = owner == m_parts.self.host, .immediate = !shared && report.domain == m_parts.self.domain, .drained = drained };
+    });
+}
+
+void fleet_agent::placeCapSeat()
+{
+    const auto hosts = m_parts.members.servingIn(m_parts.self.domain);
+    const auto found = std::ranges::find(hosts, m_parts.self.host, &fleet_member::host);
+    if (found != hosts.end()) {
+        const auto position = static_cast<std::size_t>(found - hosts.begin());
+        m_parts.caps.setSeat({ .position = position, .seats = hosts.size() }, m_parts.clock.now() + m_options.settle);
+    }
+}
+
+// Hosts of the failure domain; without any, all of its region.
+std::vector<host_name> fleet_agent::candidatesFor(const domain_name &domain) const
+{
+    const auto rules = m_parts.rules.rules();
+    const wall_ms now = m_parts.clock.wallNow();
+    std::vector<host_name> hosts;
+    const auto add = [&](const std::vector<fleet_member> &members) {
+        for (const auto &member : members) {
+            if (!rules || !rules->isDrained(drain_target::host, member.host.view(), now)) {
+                hosts.push_back(member.host);
+            }
+        }
+    };
+    add(m_parts.members.servingIn(domain));
+    if (hosts.empty()) {
+        if (const auto region = m_parts.fleet.regionOf(domain)) {
+            add(m_parts.members.servingIn(*region));
+        }
+    }
+    return hosts;
+}
+
+std::vector<host_name> fleet_agent::watched() const
+{
+    std::vector<host_name> hosts;
+    if (const auto group = m_parts.epochs.current(m_parts.self.region)) {
+        for (const auto &member : group->members) {
+            if (member.host != m_parts.self.host) {
+                hosts.push_back(member.host);
+            }
+        }
+    }
+    return hosts;
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/daemon/front_end.cpp
@@ -0,0 +1,337 @@
+#include "daemon/front_end.h"
+
+#include "announcement.h"
+#include "claims/epoch_keeper.h"
+#include "observe/log.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <cctype>
+#include <charconv>
+#include <optional>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr std::string_view servicePrefix = "/svc/";
+constexpr std::size_t keyBytesMaximum = 256;
+constexpr std::size_t majorityOfGroup = epoch_keeper::groupSize / 2 + 1;
+constexpr std::int64_t timeoutMaximumMs = 600'000;
+
+struct error_status {
+    errc error;
+    std::uint32_t status;
+};
+
+constexpr std::array errorStatuses{
+    error_status{ errc::malformedRequest, 400 },
+    error_status{ errc::missingKey, 400 },
+    error_status{ errc::missingEpoch, 400 },
+    error_status{ errc::malformedEpoch, 400 },
+    error_status{ errc::malformedAnnouncement, 400 },
+    error_status{ errc::unknownService, 404 },
+    error_status{ errc::unknownPath, 404 },
+    error_status{ errc::bodyTooLarge, 413 },
+    error_status{ errc::headerTooLarge, 431 },
+    error_status{ errc::keyReused, 422 },
+    error_status{ errc::claimHeld, 409 },
+    error_status{ errc::epochClosed, 409 },
+    error_status{ errc::answerNotKept, 409 },
+    error_status{ errc::upstreamFailed, 502 },
+    error_status{ errc::peerUnreachable, 502 },
+    error_status{ errc::deadlineExceeded, 504 },
+};
+constexpr std::uint32_t unavailableStatus = 503;
+
+std::uint32_t statusOf(errc error)
+{
+    const auto found = std::ranges::find(errorStatuses, error, &error_status::error);
+    return found == errorStatuses.end() ? unavailableStatus : found->status;
+}
+
+// A target split at its question mark.
+struct split_target {
+    std::string_view path;
+    std::string_view query;
+};
+
+split_target split(std::string_view target)
+{
+    const auto mark = target.find('?');
+    if (mark == std::string_view::npos) {
+        return { .path = target, .query = {} };
+    }
+    return { .path = target.substr(0, mark), .query = target.substr(mark + 1) };
+}
+
+// Value of a query parameter as it stands; empty when absent.
+std::string_view parameter(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        const auto end = std::min(query.find('&'), query.size());
+        const std::string_view item = query.substr(0, end);
+        const auto equals = item.find('=');
+        if (equals != std::string_view::npos && item.substr(0, equals) == name) {
+            return item.substr(equals + 1);
+        }
+        query.remove_prefix(std::min(end + 1, query.size()));
+    }
+    return {};
+}
+
+std::optional<milliseconds> parseTimeout(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size() || value < 1 || value > timeoutMaximumMs) {
+        return std::nullopt;
+    }
+    return milliseconds(value);
+}
+
+bool isSystemHeader(std::string_view name)
+{
+    constexpr std::array names{ "hornbeampick-epoch", "hornbeampick-timeout-ms", "traceparent" };
+    std::string lowered(name);
+    std::ranges::transform(lowered, lowered.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return std::ranges::find(names, lowered) != names.end();
+}
+
+http_response jsonResponse(std::uint32_t status, const json::value &body)
+{
+    return { .status = status, .headers = {}, .body = json::serialize(body) + "\n", .contentType = "application/json" };
+}
+
+} // namespace
+
+front_end::front_end(const front_end_parts &parts, front_end_options options)
+    : m_parts(parts)
+    , m_options(std::move(options))
+{
+}
+
+asio::awaitable<http_response> front_end::handle(http_request request)
+{
+    const auto path = split(request.target).path;
+    if (path.starts_with(servicePrefix)) {
+        co_return co_await carry(std::move(request));
+    }
+    if (path == "/v1/announce") {
+        co_return request.method == "POST" ? announce(request) : refuse(errc::unknownPath);
+    }
+    if (request.method != "GET") {
+        co_return refuse(errc::unknownPath);
+    }
+    if (path == "/v1/entry") {
+        co_return lookUp(request);
+    }
+    if (path == "/v1/status") {
+        co_return status();
+    }
+    if (path == "/metrics") {
+        co_return http_response{ .status = 200, .headers = {}, .body = m_parts.status.metricsText(), .contentType = "text/plain; version=0.0.4" };
+    }
+    if (path == "/healthz") {
+        co_return http_response{ .status = 200, .headers = {}, .body = "ok\n", .contentType = "text/plain" };
+    }
+    co_return refuse(errc::unknownPath);
+}
+
+bool front_end::mayAbandon(const http_request &request) const
+{
+    const auto path = split(request.target).path;
+    if (!path.starts_with(servicePrefix)) {
+        return false;
+    }
+    const std::string_view rest = path.substr(servicePrefix.size());
+    const auto service = m_options.services.find(rest.substr(0, rest.find('/')));
+    return service != m_options.services.end() && service->second.idempotent;
+}
+
+http_response front_end::refuse(errc error) const
+{
+    return responseOf(makeRefusal(error, run_outcome::notRun));
+}
+
+epoch_id front_end::epochFor(const region_name &region) const
+{
+    const auto group = m_parts.epochs.current(region);
+    if (group && m_parts.agent.reachableOf(*group) >= majorityOfGroup) {
+        return group->epoch;
+    }
+    const auto self = m_parts.members.self();
+    return { .region = std::nullopt, .host = self.host, .number = self.incarnation };
+}
+
+http_response front_end::lookUp(const http_request &request) const
+{
+    const auto query = split(request.target).query;
+    const auto table = m_parts.table.get();
+    const auto service = table->serviceIndex(parameter(query, "service"));
+    if (service == steering_table::noService) {
+        return refuse(errc::unknownService);
+    }
+    const auto text = parameter(query, "client");
+    const auto client = text.empty() ? std::optional<ipv4>(request.callerAddress) : parseIpv4(text);
+    if (!client) {
+        return refuse(errc::malformedRequest);
+    }
+    m_parts.counters.countLookup(service_name(parameter(query, "service")));
+    const auto choice = table->choose(service, *client);
+    json::array entries;
+    for (std::uint8_t i = 0; i < choice.entryCount; ++i) {
+        const auto &entry = table->entry(choice.entries[i]);
+        entries.push_back(json::object{
+            { "host", entry.host.view() },
+            { "address", entry.httpAddress },
+            { "region", entry.region.view() },
+            { "failureDomain", entry.domain.view() },
+        });
+    }
+    return jsonResponse(200,
+                        json::object{
+                            { "ruleVersion", table->ruleVersion() },
+                            { "ttlMs", m_options.lookupTtl.count() },
+                            { "operationEpoch", epochFor(table->region(choice.home)).text() },
+                            { "entries", std::move(entries) },
+                        });
+}
+
+http_response front_end::announce(const http_request &request)
+{
+    const auto report = readAnnouncement(request.body);
+    if (!report) {
+        return refuse(errc::malformedAnnouncement);
+    }
+    const bool knownService = m_options.services.contains(report->service.view());
+    if (!knownService) {
+        return refuse(errc::unknownService);
+    }
+    if (!m_parts.agent.knowsDomain(report->domain)) {
+        return refuse(errc::malformedAnnouncement);
+    }
+    m_parts.agent.onAnnounce(*report, true);
+    constexpr int renewalsATtl = 4;
+    return jsonResponse(200, json::object{ { "ttlMs", m_options.announceTtl.count() }, { "renewMs", m_options.announceTtl.count() / renewalsATtl } });
+}
+
+http_response front_end::status() const
+{
+    const auto own = m_parts.status.hostStatus();
+    json::array members;
+    constexpr std::array states{ "alive", "suspect", "leaving", "dead" };
+    for (const auto &member : m_parts.members.members()) {
+        members.push_back(json::object{
+            { "host", member.host.view() },
+            { "region", member.region.view() },
+            { "failureDomain", member.domain.view() },
+            { "state", states.at(static_cast<std::size_t>(member.state)) },
+            { "httpAddress", member.httpAddress },
+            { "rpcAddress", member.rpcAddress },
+        });
+    }
+    return jsonResponse(200,
+                        json::object{
+                            { "host", own.self.host.view() },
+                            { "region", own.self.region.view() },
+                            { "failureDomain", own.self.domain.view() },
+                            { "ruleVersion", own.ruleVersion },
+                            { "inForceSinceMs", own.inForceSince },
+                            { "rulesKnown", own.rulesKnown },
+                            { "replicaRole", own.replicaRole },
+                            { "term", own.term },
+                            { "leader", own.leader },
+                            { "cutOff", own.cutOff },
+                            { "members", std::move(members) },
+                        });
+}
+
+asio::awaitable<http_response> front_end::carry(http_request request)
+{
+    auto call = readCall(request);
+    if (!call) {
+        co_return refuse(static_cast<errc>(call.error().value()));
+    }
+    co_return responseOf(co_await m_parts.carrier.carry(std::move(call.value())));
+}
+
+result<caller_request> front_end::readCall(http_request &request) const
+{
+    const std::string_view rest = std::string_view(request.target).substr(servicePrefix.size());
+    const auto end = std::min(rest.find_first_of("/?"), rest.size());
+    const auto service = m_options.services.find(rest.substr(0, end));
+    if (service == m_options.services.end()) {
+        return errc::unknownService;
+    }
+    caller_request call;
+    auto &carried = call.carried;
+    carried.service = service_name(service->first);
+    carried.method = request.method;
+    carried.target = rest.substr(end).starts_with('/') ? std::string(rest.substr(end)) : "/" + std::string(rest.substr(end));
+    carried.idempotent = service->second.idempotent;
+    carried.caller = request.callerAddress;
+    carried.traceParent = std::string(request.header("traceparent"));
+    call.client = request.callerAddress;
+
+    milliseconds timeout = service->second.timeout;
+    if (const auto text = request.header("Hornbeampick-Timeout-Ms"); !text.empty()) {
+        const auto wanted = parseTimeout(text);
+        if (!wanted) {
+            return errc::malformedRequest;
+        }
+        timeout = std::min(timeout, *wanted);
+    }
+    carried.deadline = m_parts.clock.now() + timeout;
+    if (!carried.idempotent) {
+        call.key = std::string(request.header("Idempotency-Key"));
+        if (call.key.empty() || call.key.size() > keyBytesMaximum) {
+            return errc::missingKey;
+        }
+        const auto epoch = request.header("Hornbeampick-Epoch");
+        if (epoch.empty()) {
+            return errc::missingEpoch;
+        }
+        call.epoch = epoch_id::parse(epoch);
+        if (!call.epoch) {
+            return errc::malformedEpoch;
+        }
+    }
+    std::erase_if(request.headers, [](const auto &header) { return isSystemHeader(header.first); });
+    carried.headers = std::move(request.headers);
+    carried.body = std::move(request.body);
+    return call;
+}
+
+http_response responseOf(const carried_answer &answer)
+{
+    http_response response;
+    if (answer.isUpstreams()) {
+        response.status = answer.status;
+        response.headers = answer.headers;
+        response.body = answer.body;
+        response.contentType.clear();
+    } else {
+        const std::string message = make_error_code(answer.error).message();
+        response = jsonResponse(statusOf(answer.error),
+                                json::object{
+                                    { "code", errorCode(answer.error) },
+                                    { "message", message },
+                                    { "retryAfterMs", answer.retryAfter.count() },
+                                });
+        if (response.status == unavailableStatus) {
+            const auto wait = std::chrono::ceil<seconds>(std::max(answer.retryAfter, milliseconds(1)));
+            response.headers.emplace_back("Retry-After", std::to_string(wait.count()));
+        }
+    }
+    response.headers.emplace_back("Hornbeampick-Outcome", std::string(textOf(answer.outcome)));
+    return response;
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/daemon/request_runner.cpp
@@ -0,0 +1,216 @@
+#include "daemon/request_runner.h"
+
+#include "daemon/await_callback.h"
+
+#include <optional>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+// Upstreams tried one after the other while none has run the request.
+constexpr int upstreamsTried = 3;
+
+// Holds a slot; a request that is cancelled gives it back.
+class held_slot
+{
+public:
+    held_slot(request_gate &gate, slot_grant slot)
+        : m_gate(gate)
+        , m_slot(std::move(slot))
+    {
+    }
+    ~held_slot()
+    {
+        end(slot_end::abandoned);
+    }
+    held_slot(const held_slot &) = delete;
+    held_slot &operator=(const held_slot &) = delete;
+
+    void end(slot_end how)
+    {
+        if (!m_ended) {
+            m_ended = true;
+            m_gate.finish(m_slot, how);
+        }
+    }
+
+private:
+    request_gate &m_gate;
+    slot_grant m_slot;
+    bool m_ended = false;
+};
+
+// The only run of a request that already ended an upstream.
+class suspect_run
+{
+public:
+    suspect_run(poison_registry &registry, const digest &request, steady_time now)
+        : m_registry(registry)
+        , m_request(request)
+        , m_allowed(registry.begin(request, now))
+    {
+    }
+    ~suspect_run()
+    {
+        if (m_allowed) {
+            m_registry.end(m_request);
+        }
+    }
+    suspect_run(const suspect_run &) = delete;
+    suspect_run &operator=(const suspect_run &) = delete;
+
+    [[nodiscard]] bool allowed() const
+    {
+        return m_allowed;
+    }
+
+private:
+    poison_registry &m_registry;
+    digest m_request;
+    bool m_allowed;
+};
+
+slot_end slotEndOf(attempt_end end)
+{
+    switch (end) {
+    case attempt_end::answered:
+        return slot_end::answered;
+    case attempt_end::shed:
+        return slot_end::shed;
+    case attempt_end::refused:
+        return slot_end::refused;
+    case attempt_end::broke:
+        return slot_end::broke;
+    case attempt_end::timedOut:
+        return slot_end::abandoned;
+    }
+    return slot_end::abandoned;
+}
+
+carried_answer answerOf(attempt_result &&result)
+{
+    switch (result.end) {
+    case attempt_end::shed:
+        return makeRefusal(errc::upstreamShed, run_outcome::notRun);
+    case attempt_end::refused:
+        return makeRefusal(errc::noUpstream, run_outcome::notRun);
+    case attempt_end::broke:
+        return makeRefusal(errc::upstreamFailed, run_outcome::unknown);
+    case attempt_end::timedOut:
+        return makeRefusal(errc::deadlineExceeded, run_outcome::unknown);
+    case attempt_end::answered:
+        break;
+    }
+    carried_answer answer;
+    answer.outcome = run_outcome::run;
+    answer.status = result.status;
+    answer.headers = std::move(result.headers);
+    answer.body = std::move(result.body);
+    return answer;
+}
+
+} // namespace
+
+request_runner::request_runner(const request_runner_parts &parts)
+    : m_parts(parts)
+{
+}
+
+asio::awaitable<carried_answer> request_runner::run(carried_request request)
+{
+    const auto now = m_parts.clock.now();
+    const suspect_run suspect(m_parts.poison, request.content(), now);
+    if (!suspect.allowed()) {
+        co_return makeRefusal(errc::quarantined, run_outcome::notRun);
+    }
+    const cap_key capacity{ .kind = cap_kind::regionCapacity, .service = request.service, .other = {} };
+    const auto capacityReceipt = m_parts.caps.take(capacity, 1, now);
+    if (!capacityReceipt) {
+        co_return makeRefusal(errc::capReached, run_outcome::notRun, window_limiter::window);
+    }
+    std::optional<cap_receipt> shiftReceipt;
+    if (request.shifted) {
+        shiftReceipt = m_parts.caps.take({ .kind = cap_kind::shift, .service = request.service, .other = request.home }, 1, now);
+        if (!shiftReceipt) {
+            m_parts.caps.giveBack(*capacityReceipt, now);
+            co_return makeRefusal(errc::capReached, run_outcome::notRun, window_limiter::window);
+        }
+    }
+    auto answer = co_await runWithinCaps(request);
+    if (answer.outcome == run_outcome::notRun) {
+        const auto later = m_parts.clock.now();
+        m_parts.caps.giveBack(*capacityReceipt, later);
+        if (shiftReceipt) {
+            m_parts.caps.giveBack(*shiftReceipt, later);
+        }
+    }
+    co_return answer;
+}
+
+asio::awaitable<carried_answer> request_runner::runWithinCaps(carried_request &request)
+{
+    carried_answer answer = makeRefusal(errc::noUpstream, run_outcome::notRun);
+    for (int tried = 0; tried < upstreamsTried; ++tried) {
+        const auto slot = co_await waitForSlot(request);
+        if (const auto *refused = std::get_if<slot_refused>(&slot)) {
+            // The reason of an earlier upstream says more than that no other is free.
+            co_return tried == 0 ? makeRefusal(refused->error, run_outcome::notRun, refused->retryAfter) : std::move(answer);
+        }
+        answer = co_await attempt(request, std::get<slot_grant>(slot));
+        if (answer.outcome != run_outcome::notRun) {
+            break;
+        }
+        request.avoid = std::get<slot_grant>(slot).instance;
+    }
+    co_return answer;
+}
+
+asio::awaitable<gate_answer> request_runner::waitForSlot(const carried_request &request)
+{
+    const admit_request wanted{
+        .number = m_parts.gate.nextNumber(),
+        .caller = request.caller,
+        .deadline = request.deadline,
+        .avoid = request.avoid,
+    };
+    auto start = [this, &request, &wanted](std::function<void(gate_answer)> done) { m_parts.gate.admit(request.service, wanted, std::move(done)); };
+    co_return co_await awaitCallback<gate_answer>(std::move(start));
+}
+
+asio::awaitable<carried_answer> request_runner::attempt(const carried_request &request, const slot_grant &slot)
+{
+    const auto startedAt = m_parts.clock.now();
+    const auto span = m_parts.traces.begin("attempt", trace_context::parse(request.traceParent));
+    held_slot held(m_parts.gate, slot);
+    carried_request sent = request;
+    sent.traceParent = span.context.header();
+    auto result = co_await m_parts.upstreams.send(slot.address, sent);
+    held.end(slotEndOf(result.end));
+    auto answer = answerOf(std::move(result));
+    answer.instance = slot.instance;
+    if (answer.error == errc::upstreamFailed) {
+        co_await reportIfDead(request, slot, answer);
+    }
+    m_parts.counters.observeHop(request.service, "attempt", std::chrono::duration_cast<microseconds>(m_parts.clock.now() - startedAt));
+    m_parts.traces.end(span, { { "service", request.service.view() }, { "instance", slot.instance.view() }, { "outcome", textOf(answer.outcome) } });
+    co_return answer;
+}
+
+asio::awaitable<void> request_runner::reportIfDead(const carried_request &request, const slot_grant &slot, carried_answer &answer)
+{
+    // A broken connection alone may be the network's fault; a port that nobody listens on is not.
+    answer.upstreamDied = co_await m_parts.upstreams.isGone(slot.address);
+    if (!answer.upstreamDied) {
+        co_return;
+    }
+    const upstream_death death{ .request = request.content(), .instance = slot.instance, .incarnation = slot.incarnation };
+    m_parts.poison.report(death, m_parts.clock.now());
+    co_await m_parts.deaths.spread(death);
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/daemon/rule_keeper.cpp
@@ -0,0 +1,61 @@
+#include "daemon/rule_keeper.h"
+
+#include "observe/log.h"
+#include "rules/rule_parser.h"
+
+namespace hornbeampick
+{
+
+rule_keeper::rule_keeper(epoch_table &epochs, claim_store &claims, cap_table &caps, clock_source &clock)
+    : m_epochs(epochs)
+    , m_claims(claims)
+    , m_caps(caps)
+    , m_clock(clock)
+{
+    m_state.set(std::make_shared<const ledger_state>());
+}
+
+bool rule_keeper::update(const ledger_state &state)
+{
+    const std::lock_guard guard(m_updateLock);
+    const auto known = m_state.get();
+    if (state.appliedIndex <= known->appliedIndex || state.version < known->version) {
+        return false;
+    }
+    if (state.version > known->version) {
+        const auto parsed = parseRules(state.text, "accepted rules");
+        if (!parsed.rules) {
+            // Accepted by a newer release: what is in force stays.
+            logEvent(log_level::error, "rules-unreadable",
+                     { { "version", static_cast<std::int64_t>(state.version) }, { "place", parsed.errors.front().text() } });
+            return false;
+        }
+        m_rules.set(parsed.rules);
+        m_caps.setRules(parsed.rules);
+        m_inForceSince = m_clock.wallNow();
+        logEvent(log_level::info, "rules-in-force", { { "version", static_cast<std::int64_t>(state.version) }, { "operator", state.operatorName } });
+    }
+    m_epochs.update(state.epochs);
+    for (const auto &[region, first] : m_epochs.firstOpen()) {
+        m_claims.closeBefore(region, first);
+    }
+    m_state.set(std::make_shared<const ledger_state>(state));
+    return true;
+}
+
+std::shared_ptr<const ledger_state> rule_keeper::state() const
+{
+    return m_state.get();
+}
+
+std::shared_ptr<const rule_set> rule_keeper::rules() const
+{
+    return m_rules.get();
+}
+
+wall_ms rule_keeper::inForceSince() const
+{
+    return m_inForceSince;
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/hornbeampickd.cpp
@@ -0,0 +1,64 @@
+// The daemon's command line.
+
+#include "daemon/daemon.h"
+#include "observe/log.h"
+#include "settings/settings_file.h"
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace
+{
+
+using namespace hornbeampick;
+
+// Documented exit codes.
+constexpr int exitOk = 0;
+constexpr int exitUsage = 2;
+constexpr int exitSettings = 3;
+constexpr int exitStart = 4;
+
+int serve(const std::string &path)
+{
+    const auto parsed = loadSettings(path);
+    for (const auto &error : parsed.errors) {
+        std::cerr << error.text() << "\n";
+    }
+    if (!parsed.settings) {
+        return exitSettings;
+    }
+    startLog(parsed.settings->host(), parsed.settings->log().file());
+    auto made = makeDaemon(parsed.settings);
+    if (!made) {
+        logEvent(log_level::error, "start-failed", { errorField(made.error()) });
+        std::cerr << "hornbeampickd: " << made.error().message() << "\n";
+        return exitStart;
+    }
+    made.value()->run();
+    return exitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("hornbeampickd",
+                             "Steers traffic: one entry host of the fleet.\n\nExit codes: 0 stopped as planned, 2 usage, 3 bad settings, 4 a port, key or data "
+                             "folder cannot be used.");
+    options.add_options()("settings", "settings file (YAML)", cxxopts::value<std::string>(), "FILE")("help", "show this help");
+    try {
+        const auto parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0) {
+            std::cout << options.help();
+            return exitOk;
+        }
+        if (parsed.count("settings") == 0) {
+            std::cerr << options.help();
+            return exitUsage;
+        }
+        return serve(parsed["settings"].as<std::string>());
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << "hornbeampickd: " << error.what() << "\n";
+        return exitUsage;
+    }
+}
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,348 @@
+#include "http/http_server.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr auto noThrow = asio::as_tuple(asio::use_awaitable);
+constexpr int backlog = 1024;
+constexpr milliseconds acceptPause{ 50 };
+constexpr milliseconds lingerTime{ 200 };
+
+bool sameName(std::string_view a, std::string_view b)
+{
+    return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+}
+
+// Counters that outlive the server while a connection still ends.
+struct server_state {
+    std::atomic<bool> draining{ false };
+    std::atomic<std::size_t> connections{ 0 };
+    std::atomic<std::size_t> active{ 0 };
+};
+
+class counted
+{
+public:
+    explicit counted(std::atomic<std::size_t> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~counted()
+    {
+        --m_count;
+    }
+    counted(const counted &) = delete;
+    counted &operator=(const counted &) = delete;
+
+private:
+    std::atomic<std::size_t> &m_count;
+};
+
+errc errorOf(const error_code &error)
+{
+    if (error == http::error::header_limit) {
+        return errc::headerTooLarge;
+    }
+    if (error == http::error::body_limit) {
+        return errc::bodyTooLarge;
+    }
+    if (error == beast::error::timeout) {
+        return errc::deadlineExceeded;
+    }
+    return errc::malformedRequest;
+}
+
+// One connection, one request after the other.
+class session
+{
+public:
+    session(tcp::socket socket, const http_server_options &options, http_handler &handler, std::shared_ptr<server_state> state)
+        : m_stream(std::move(socket))
+        , m_options(options)
+        , m_handler(handler)
+        , m_state(std::move(state))
+    {
+    }
+
+    asio::awaitable<void> run()
+    {
+        const counted open(m_state->connections);
+        error_code error;
+        const auto peer = m_stream.socket().remote_endpoint(error);
+        m_caller = !error && peer.address().is_v4() ? peer.address().to_v4().to_uint() : 0;
+        m_stream.socket().set_option(tcp::no_delay(true), error);
+        bool again = true;
+        while (again && !m_state->draining) {
+            again = co_await serveOne();
+        }
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        co_await linger();
+    }
+
+private:
+    // Returns true when the connection stays open.
+    asio::awaitable<bool> serveOne()
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_options.headerBytes));
+        parser.body_limit(m_options.bodyBytes);
+
+        // Until the first byte the connection is idle; from then on it must not dawdle.
+        if (m_buffer.size() == 0) {
+            m_stream.expires_after(m_options.idle);
+            const auto [waited, count] = co_await m_stream.async_read_some(m_buffer.prepare(m_options.headerBytes / 4), noThrow);
+            if (waited) {
+                co_return false;
+            }
+            m_buffer.commit(count);
+        }
+        m_stream.expires_after(m_options.headerTime);
+        const auto [failed, bytes] = co_await http::async_read(m_stream, m_buffer, parser, noThrow);
+        if (failed == http::error::end_of_stream) {
+            co_return false;
+        }
+        if (failed) {
+            co_await write(m_handler.refuse(errorOf(failed)), false);
+            co_return false;
+        }
+        const bool keepAlive = parser.get().keep_alive();
+        auto request = take(parser.release());
+        if (request.repeats("Host") || request.repeats("Idempotency-Key") || request.repeats("Hornbeampick-Epoch")) {
+            co_await write(m_handler.refuse(errc::malformedRequest), false);
+            co_return false;
+        }
+        m_stream.expires_never();
+        const counted active(m_state->active);
+        auto response = co_await answer(std::move(request));
+        if (!response) {
+            co_return false;
+        }
+        const bool stay = keepAlive && !m_state->draining;
+        const bool written = co_await write(*response, stay);
+        co_return written &&stay;
+    }
+
+    http_request take(http::request<http::string_body> message) const
+    {
+        http_request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message) {
+            request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        }
+        request.body = std::move(message.body());
+        request.callerAddress = m_caller;
+        return request;
+    }
+
+    // Empty when the caller left and the request was given up.
+    asio::awaitable<std::optional<http_response>> answer(http_request request)
+    {
+        if (!m_handler.mayAbandon(request)) {
+            co_return co_await m_handler.handle(std::move(request));
+        }
+        using namespace asio::experimental::awaitable_operators;
+        auto outcome = co_await (m_handler.handle(std::move(request)) || callerLeft());
+        if (auto *response = std::get_if<http_response>(&outcome)) {
+            co_return std::move(*response);
+        }
+        co_return std::nullopt;
+    }
+
+    // Completes when the caller has closed its side; never when it pipelines.
+    asio::awaitable<void> callerLeft()
+    {
+        const auto [failed] = co_await m_stream.socket().async_wait(tcp::socket::wait_read, noThrow);
+        error_code error;
+        char byte = 0;
+        const auto count = m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        const bool left = !failed && (error || count == 0);
+        if (!left) {
+            asio::steady_timer never(co_await asio::this_coro::executor, steady_time::max());
+            co_await never.async_wait(noThrow);
+        }
+    }
+
+    asio::awaitable<bool> write(const http_response &response, bool keepAlive)
+    {
+        http::response<http::string_body> message;
+        message.version(11);
+        message.result(response.status);
+        for (const auto &[name, value] : response.headers) {
+            message.insert(name, value);
+        }
+        if (message.find(http::field::content_type) == message.end() && !response.contentType.empty()) {
+            message.set(http::field::content_type, response.contentType);
+        }
+        message.body() = response.body;
+        message.keep_alive(keepAlive);
+        message.prepare_payload();
+        m_stream.expires_after(m_options.idle);
+        const auto [failed, bytes] = co_await http::async_write(m_stream, message, noThrow);
+        co_return !failed;
+    }
+
+    // Reads what the caller still sends, so that closing does not reset the answer away.
+    asio::awaitable<void> linger()
+    {
+        m_stream.expires_after(lingerTime);
+        bool more = true;
+        while (more) {
+            m_buffer.consume(m_buffer.size());
+            const auto [failed, count] = co_await m_stream.async_read_some(m_buffer.prepare(m_options.headerBytes / 4), noThrow);
+            more = !failed && count > 0;
+        }
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    const http_server_options m_options;
+    http_handler &m_handler;
+    std::shared_ptr<server_state> m_state;
+    std::uint32_t m_caller = 0;
+};
+
+asio::awaitable<void> runSession(std::unique_ptr<session> connection)
+{
+    co_await connection->run();
+}
+
+class beast_http_server final : public http_server
+{
+public:
+    beast_http_server(const http_server_options &options, asio::io_context &context, http_handler &handler)
+        : m_options(options)
+        , m_context(context)
+        , m_handler(handler)
+        , m_acceptor(std::make_shared<tcp::acceptor>(asio::make_strand(context)))
+    {
+    }
+
+    ~beast_http_server() override
+    {
+        drain();
+    }
+
+    bool listen()
+    {
+        error_code error;
+        const auto address = asio::ip::make_address(m_options.address, error);
+        const tcp::endpoint endpoint(address, m_options.port);
+        if (error) {
+            return false;
+        }
+        m_acceptor->open(endpoint.protocol(), error);
+        if (!error) {
+            m_acceptor->set_option(asio::socket_base::reuse_address(true), error);
+        }
+        if (!error) {
+            m_acceptor->bind(endpoint, error);
+        }
+        if (!error) {
+            m_acceptor->listen(backlog, error);
+        }
+        if (error) {
+            return false;
+        }
+        m_port = m_acceptor->local_endpoint().port();
+        asio::co_spawn(m_acceptor->get_executor(), accept(m_acceptor, m_context, m_options, m_handler, m_state), asio::detached);
+        return true;
+    }
+
+    [[nodiscard]] std::uint16_t port() const override
+    {
+        return m_port;
+    }
+    [[nodiscard]] std::size_t openConnections() const override
+    {
+        return m_state->connections;
+    }
+    [[nodiscard]] std::size_t activeRequests() const override
+    {
+        return m_state->active;
+    }
+
+    void drain() override
+    {
+        m_state->draining = true;
+        asio::post(m_acceptor->get_executor(), [acceptor = m_acceptor] {
+            error_code ignored;
+            acceptor->close(ignored);
+        });
+    }
+
+private:
+    static asio::awaitable<void> accept(std::shared_ptr<tcp::acceptor> acceptor, asio::io_context &context, http_server_options options, http_handler &handler,
+                                        std::shared_ptr<server_state> state)
+    {
+        while (acceptor->is_open()) {
+            auto [failed, socket] = co_await acceptor->async_accept(asio::make_strand(context), noThrow);
+            if (failed) {
+                // Out of descriptors, most likely: wait for connections to end.
+                asio::steady_timer pause(co_await asio::this_coro::executor, acceptPause);
+                co_await pause.async_wait(noThrow);
+                continue;
+            }
+            if (state->connections >= options.connections) {
+                continue;
+            }
+            const auto executor = socket.get_executor();
+            asio::co_spawn(executor, runSession(std::make_unique<session>(std::move(socket), options, handler, state)), asio::detached);
+        }
+    }
+
+    http_server_options m_options;
+    asio::io_context &m_context;
+    http_handler &m_handler;
+    std::shared_ptr<tcp::acceptor> m_acceptor;
+    std::shared_ptr<server_state> m_state = std::make_shared<server_state>();
+    std::uint16_t m_port = 0;
+};
+
+} // namespace
+
+std::string_view http_request::header(std::string_view name) const
+{
+    const auto found = std::ranges::find_if(headers, [&](const auto &header) { return sameName(header.first, name); });
+    return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
+bool http_request::repeats(std::string_view name) const
+{
+    return std::ranges::count_if(headers, [&](const auto &header) { return sameName(header.first, name); }) > 1;
+}
+
+result<std::unique_ptr<http_server>> makeHttpServer(const http_server_options &options, asio::io_context &context, http_handler &handler)
+{
+    auto server = std::make_unique<beast_http_server>(options, context, handler);
+    if (!server->listen()) {
+        return errc::ioFailed;
+    }
+    return std::unique_ptr<http_server>(std::move(server));
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/http/upstream_client.cpp
@@ -0,0 +1,296 @@
+#include "http/upstream_client.h"
+
+#include "core/digest.h"
+#include "core/shards.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+#include <charconv>
+#include <optional>
+#include <unistd.h>
+#include <unordered_map>
+#include <utility>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr auto noThrow = asio::as_tuple(asio::use_awaitable);
+constexpr std::array hopHeaders{
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
+    "host",       "expect",     "proxy-connection"
+};
+constexpr std::string_view outcomeHeader = "Hornbeampick-Outcome";
+
+std::string lowered(std::string_view text)
+{
+    std::string out(text);
+    std::ranges::transform(out, out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+bool isHopHeader(std::string_view name)
+{
+    return std::ranges::find(hopHeaders, lowered(name)) != hopHeaders.end();
+}
+
+std::optional<tcp::endpoint> endpointOf(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    std::uint16_t port = 0;
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    const std::string_view digits = std::string_view(address).substr(colon + 1);
+    const auto [end, failed] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    error_code error;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    if (failed != std::errc{} || end != digits.data() + digits.size() || error) {
+        return std::nullopt;
+    }
+    return tcp::endpoint(ip, port);
+}
+
+// An open connection that no executor watches; closed when it goes.
+class idle_connection
+{
+public:
+    idle_connection(int descriptor, steady_time since)
+        : m_descriptor(descriptor)
+        , m_since(since)
+    {
+    }
+    ~idle_connection()
+    {
+        if (m_descriptor >= 0) {
+            ::close(m_descriptor);
+        }
+    }
+    idle_connection(idle_connection &&other) noexcept
+        : m_descriptor(std::exchange(other.m_descriptor, -1))
+        , m_since(other.m_since)
+    {
+    }
+    idle_connection &operator=(idle_connection &&other) noexcept
+    {
+        std::swap(m_descriptor, other.m_descriptor);
+        m_since = other.m_since;
+        return *this;
+    }
+    idle_connection(const idle_connection &) = delete;
+    idle_connection &operator=(const idle_connection &) = delete;
+
+    [[nodiscard]] steady_time since() const
+    {
+        return m_since;
+    }
+    int release()
+    {
+        return std::exchange(m_descriptor, -1);
+    }
+
+private:
+    int m_descriptor;
+    steady_time m_since;
+};
+
+using idle_map = std::unordered_map<std::string, std::vector<idle_connection>>;
+
+// True when the far side has not closed and sent nothing unasked.
+bool isQuiet(tcp::socket &socket)
+{
+    error_code error;
+    char byte = 0;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+class beast_upstream_client final : public upstream_client
+{
+public:
+    explicit beast_upstream_client(const upstream_client_options &options)
+        : m_options(options)
+    {
+    }
+
+    asio::awaitable<attempt_result> send(const std::string &address, const carried_request &request) override
+    {
+        auto stream = takeIdle(address, co_await asio::this_coro::executor);
+        if (!stream) {
+            stream = co_await connect(address, request.deadline);
+        }
+        if (!stream) {
+            co_return attempt_result{ .end = attempt_end::refused, .status = 0, .headers = {}, .body = {} };
+        }
+        auto result = co_await exchange(*stream, address, request);
+        co_return result;
+    }
+
+    asio::awaitable<bool> isGone(const std::string &address) override
+    {
+        const auto endpoint = endpointOf(address);
+        if (!endpoint) {
+            co_return true;
+        }
+        beast::tcp_stream stream(co_await asio::this_coro::executor);
+        stream.expires_after(m_options.connectTime);
+        const auto [failed] = co_await stream.async_connect(*endpoint, noThrow);
+        co_return failed == asio::error::connection_refused;
+    }
+
+private:
+    using stream_pointer = std::unique_ptr<beast::tcp_stream>;
+
+    // The stream works on the caller's executor, so that its timers and the request never race.
+    stream_pointer takeIdle(const std::string &address, const asio::any_io_executor &executor)
+    {
+        while (true) {
+            auto idle = m_idle.with(stableHash(address), [&](idle_map &all) -> std::optional<idle_connection> {
+                auto &list = all[address];
+                if (list.empty()) {
+                    return std::nullopt;
+                }
+                auto last = std::move(list.back());
+                list.pop_back();
+                return last;
+            });
+            if (!idle) {
+                return nullptr;
+            }
+            const bool young = std::chrono::steady_clock::now() < idle->since() + m_options.idle;
+            tcp::socket socket(executor);
+            error_code error;
+            socket.assign(tcp::v4(), idle->release(), error);
+            if (young && !error && isQuiet(socket)) {
+                return std::make_unique<beast::tcp_stream>(std::move(socket));
+            }
+        }
+    }
+
+    void keep(const std::string &address, tcp::socket socket)
+    {
+        error_code error;
+        const int descriptor = socket.release(error);
+        if (error) {
+            return;
+        }
+        idle_connection kept(descriptor, std::chrono::steady_clock::now());
+        m_idle.with(stableHash(address), [&](idle_map &all) {
+            auto &list = all[address];
+            if (list.size() < m_options.idleAnUpstream) {
+                list.push_back(std::move(kept));
+            }
+        });
+    }
+
+    asio::awaitable<stream_pointer> connect(const std::string &address, steady_time deadline)
+    {
+        const auto endpoint = endpointOf(address);
+        if (!endpoint) {
+            co_return nullptr;
+        }
+        auto stream = std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
+        stream->expires_at(std::min(deadline, std::chrono::steady_clock::now() + m_options.connectTime));
+        const auto [failed] = co_await stream->async_connect(*endpoint, noThrow);
+        if (failed) {
+            co_return nullptr;
+        }
+        error_code ignored;
+        stream->socket().set_option(tcp::no_delay(true), ignored);
+        co_return stream;
+    }
+
+    asio::awaitable<attempt_result> exchange(beast::tcp_stream &stream, const std::string &address, const carried_request &request)
+    {
+        attempt_result result;
+        const auto message = makeMessage(address, request);
+        stream.expires_at(request.deadline);
+        const auto [unsent, written] = co_await http::async_write(stream, message, noThrow);
+        if (unsent) {
+            // Bytes may have left even when the write failed.
+            result.end = unsent == beast::error::timeout ? attempt_end::timedOut : attempt_end::broke;
+            co_return result;
+        }
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(m_options.answerBytes);
+        if (request.method == "HEAD") {
+            parser.skip(true);
+        }
+        const auto [unread, read] = co_await http::async_read(stream, buffer, parser, noThrow);
+        if (unread) {
+            result.end = unread == beast::error::timeout ? attempt_end::timedOut : attempt_end::broke;
+            co_return result;
+        }
+        const bool reusable = parser.get().keep_alive() && buffer.size() == 0;
+        fill(result, parser.release());
+        if (reusable) {
+            stream.expires_never();
+            keep(address, stream.release_socket());
+        }
+        co_return result;
+    }
+
+    static http::request<http::string_body> makeMessage(const std::string &address, const carried_request &request)
+    {
+        http::request<http::string_body> message;
+        message.version(11);
+        message.method_string(request.method);
+        message.target(request.target);
+        message.set(http::field::host, address);
+        for (const auto &[name, value] : request.headers) {
+            if (!isHopHeader(name)) {
+                message.insert(name, value);
+            }
+        }
+        if (!request.traceParent.empty()) {
+            message.set("traceparent", request.traceParent);
+        }
+        message.body() = request.body;
+        message.prepare_payload();
+        return message;
+    }
+
+    static void fill(attempt_result &result, http::response<http::string_body> message)
+    {
+        result.status = message.result_int();
+        const bool saysNotRun = message[outcomeHeader] == "not-run";
+        const bool refuses = message.result() == http::status::service_unavailable || message.result() == http::status::too_many_requests;
+        result.end = refuses && saysNotRun ? attempt_end::shed : attempt_end::answered;
+        for (const auto &field : message) {
+            const std::string name(field.name_string());
+            if (!isHopHeader(name) && lowered(name) != "hornbeampick-outcome") {
+                result.headers.emplace_back(name, std::string(field.value()));
+            }
+        }
+        result.body = std::move(message.body());
+    }
+
+    upstream_client_options m_options;
+    shards<idle_map> m_idle;
+};
+
+} // namespace
+
+std::unique_ptr<upstream_client> makeUpstreamClient(const upstream_client_options &options)
+{
+    return std::make_unique<beast_upstream_client>(options);
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/observe/easylogging.cpp
@@ -0,0 +1,4 @@
+// The logging library is built from its own source, once.
+#include <easylogging++.cc>
+
+INITIALIZE_EASYLOGGINGPP
--- /dev/null
+++ b/src/replica/replica_core.cpp
@@ -0,0 +1,607 @@
+#include "replica/replica_core.h"
+
+#include <cassert>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+// A snapshot that was not acknowledged is sent again after this long.
+constexpr milliseconds snapshotRetry{ 2000 };
+
+const replica_config *configOf(const log_entry &entry)
+{
+    return std::get_if<replica_config>(&entry.body);
+}
+
+} // namespace
+
+replica_core::replica_core(const replica_options &options, replica_image image, random_source &random, steady_time now)
+    : m_options(options)
+    , m_random(random)
+    , m_hard(image.hard)
+    , m_snapshot(std::move(image.snapshot))
+    , m_entries(std::move(image.entries))
+    , m_commit(m_snapshot.index)
+    , m_persisted(lastIndex())
+{
+    restoreConfig();
+    m_role = m_config.isVoter(m_options.self.disk) ? replica_role::follower : replica_role::learner;
+    resetElectionDeadline(now);
+    validate();
+}
+
+void replica_core::tick(steady_time now)
+{
+    if (m_role == replica_role::leader) {
+        if (!hasQuorum(now)) {
+            becomeFollower(m_hard.term, 0, now);
+        } else if (now >= m_heartbeatDeadline) {
+            broadcastAppend(now);
+        }
+        return;
+    }
+    if (now < m_electionDeadline) {
+        return;
+    }
+    if (m_config.isVoter(m_options.self.disk)) {
+        startPreVote(now);
+    } else {
+        m_role = replica_role::learner;
+        m_leader = 0;
+        resetElectionDeadline(now);
+    }
+}
+
+void replica_core::step(const replica_message &message, steady_time now)
+{
+    if (message.to.disk != m_options.self.disk) {
+        return;
+    }
+    switch (message.kind) {
+    case replica_message_kind::preVoteRequest:
+        onPreVoteRequest(message, now);
+        break;
+    case replica_message_kind::preVoteReply:
+        onPreVoteReply(message, now);
+        break;
+    case replica_message_kind::voteRequest:
+        onVoteRequest(message, now);
+        break;
+    case replica_message_kind::voteReply:
+        onVoteReply(message, now);
+        break;
+    case replica_message_kind::appendRequest:
+        onAppendRequest(message, now);
+        break;
+    case replica_message_kind::appendReply:
+        onAppendReply(message, now);
+        break;
+    case replica_message_kind::snapshotRequest:
+        onSnapshotRequest(message, now);
+        break;
+    case replica_message_kind::timeoutNow:
+        if (message.term == m_hard.term && m_config.isVoter(m_options.self.disk)) {
+            startElection(now, true);
+        }
+        break;
+    }
+    validate();
+}
+
+result<log_index> replica_core::propose(entry_body body, steady_time now)
+{
+    if (m_role != replica_role::leader) {
+        return errc::notLeader;
+    }
+    if (std::holds_alternative<replica_config>(body) && (m_configIndex > m_commit || !leadsWithCommit())) {
+        return errc::configBusy;
+    }
+    appendOwn(std::move(body));
+    broadcastAppend(now);
+    return lastIndex();
+}
+
+void replica_core::handOver(steady_time now)
+{
+    if (m_role != replica_role::leader) {
+        return;
+    }
+    const replica_id *best = nullptr;
+    for (const auto &voter : m_config.voters) {
+        if (voter.disk == m_options.self.disk) {
+            continue;
+        }
+        if (best == nullptr || m_progress[voter.disk].match > m_progress[best->disk].match) {
+            best = &voter;
+        }
+    }
+    if (best == nullptr) {
+        return;
+    }
+    sendAppend(*best, now);
+    m_output.messages.push_back({ .kind = replica_message_kind::timeoutNow, .from = m_options.self, .to = *best, .term = m_hard.term });
+}
+
+replica_output replica_core::takeOutput()
+{
+    if (m_hardChanged) {
+        m_output.hard = m_hard;
+        m_hardChanged = false;
+    }
+    return std::exchange(m_output, {});
+}
+
+void replica_core::persisted()
+{
+    m_persisted = lastIndex();
+    if (m_role == replica_role::leader) {
+        advanceCommit(steady_time{});
+    }
+}
+
+void replica_core::compact(log_index index, const ledger_state &state)
+{
+    assert(index <= m_commit && index >= m_snapshot.index);
+    if (index == m_snapshot.index) {
+        return;
+    }
+    replica_config config = m_snapshot.config;
+    for (const auto &entry : m_entries) {
+        const auto *changed = configOf(entry);
+        if (entry.index <= index && changed != nullptr) {
+            config = *changed;
+        }
+    }
+    const log_term term = termAt(index);
+    const auto dropped = static_cast<std::ptrdiff_t>(index - m_snapshot.index);
+    m_entries.erase(m_entries.begin(), m_entries.begin() + dropped);
+    m_snapshot = { .index = index, .term = term, .config = std::move(config), .state = state };
+    validate();
+}
+
+steady_time replica_core::nextDeadline() const
+{
+    return m_role == replica_role::leader ? m_heartbeatDeadline : m_electionDeadline;
+}
+
+std::optional<replica_id> replica_core::leader() const
+{
+    const auto found = std::ranges::find(m_config.voters, m_leader, &replica_id::disk);
+    if (m_leader == 0 || found == m_config.voters.end()) {
+        return std::nullopt;
+    }
+    return *found;
+}
+
+log_index replica_core::lastIndex() const
+{
+    return m_snapshot.index + m_entries.size();
+}
+
+bool replica_core::leadsWithCommit() const
+{
+    return m_role == replica_role::leader && m_commit >= m_snapshot.index && termAt(m_commit) == m_hard.term;
+}
+
+void replica_core::validate() const
+{
+#ifndef NDEBUG
+    assert(m_commit <= lastIndex());
+    assert(m_commit >= m_snapshot.index);
+    assert(m_persisted <= lastIndex());
+    log_index expected = m_snapshot.index;
+    for (const auto &entry : m_entries) {
+        assert(entry.index == ++expected);
+        assert(entry.term <= m_hard.term);
+    }
+#endif
+}
+
+log_term replica_core::termAt(log_index index) const
+{
+    if (index == m_snapshot.index) {
+        return m_snapshot.term;
+    }
+    return entryAt(index).term;
+}
+
+const log_entry &replica_core::entryAt(log_index index) const
+{
+    assert(index > m_snapshot.index && index <= lastIndex());
+    return m_entries[index - m_snapshot.index - 1];
+}
+
+log_term replica_core::lastTerm() const
+{
+    return termAt(lastIndex());
+}
+
+bool replica_core::logIsCurrent(const replica_message &message) const
+{
+    if (message.lastTerm != lastTerm()) {
+        return message.lastTerm > lastTerm();
+    }
+    return message.lastIndex >= lastIndex();
+}
+
+bool replica_core::leaderIsFresh(steady_time now) const
+{
+    if (m_role == replica_role::leader) {
+        return true;
+    }
+    return m_leader != 0 && now < m_leaderHeard + m_options.electionTimeout;
+}
+
+bool replica_core::isMajority(const std::set<disk_id> &votes) const
+{
+    const auto counted = std::ranges::count_if(m_config.voters, [&](const replica_id &voter) { return votes.contains(voter.disk); });
+    return static_cast<std::size_t>(counted) >= m_config.majority();
+}
+
+std::vector<replica_id> replica_core::others() const
+{
+    std::vector<replica_id> peers;
+    for (const auto &list : { m_config.voters, m_config.learners }) {
+        for (const auto &peer : list) {
+            if (peer.disk != m_options.self.disk) {
+                peers.push_back(peer);
+            }
+        }
+    }
+    return peers;
+}
+
+void replica_core::becomeFollower(log_term term, disk_id leader, steady_time now)
+{
+    if (term > m_hard.term) {
+        m_hard = { .term = term, .votedFor = 0 };
+        m_hardChanged = true;
+    }
+    m_role = m_config.isVoter(m_options.self.disk) ? replica_role::follower : replica_role::learner;
+    m_leader = leader;
+    m_votes.clear();
+    resetElectionDeadline(now);
+}
+
+void replica_core::startPreVote(steady_time now)
+{
+    m_role = replica_role::preCandidate;
+    m_leader = 0;
+    m_votes = { m_options.self.disk };
+    resetElectionDeadline(now);
+    if (isMajority(m_votes)) {
+        startElection(now, false);
+        return;
+    }
+    requestVotes(replica_message_kind::preVoteRequest, m_hard.term + 1, false);
+}
+
+void replica_core::startElection(steady_time now, bool askedByLeader)
+{
+    m_role = replica_role::candidate;
+    m_leader = 0;
+    m_hard = { .term = m_hard.term + 1, .votedFor = m_options.self.disk };
+    m_hardChanged = true;
+    m_votes = { m_options.self.disk };
+    resetElectionDeadline(now);
+    if (isMajority(m_votes)) {
+        becomeLeader(now);
+        return;
+    }
+    requestVotes(replica_message_kind::voteRequest, m_hard.term, askedByLeader);
+}
+
+void replica_core::becomeLeader(steady_time now)
+{
+    m_role = replica_role::leader;
+    m_leader = m_options.self.disk;
+    m_progress.clear();
+    for (const auto &peer : others()) {
+        m_progress[peer.disk] = { .next = lastIndex() + 1, .match = 0, .lastReply = now, .snapshotUntil = {} };
+    }
+    appendOwn(barrier_entry{});
+    broadcastAppend(now);
+}
+
+void replica_core::restoreConfig()
+{
+    m_config = m_snapshot.config;
+    m_configIndex = m_snapshot.index;
+    for (const auto &entry : m_entries) {
+        if (const auto *changed = configOf(entry)) {
+            m_config = *changed;
+            m_configIndex = entry.index;
+        }
+    }
+}
+
+void replica_core::resetElectionDeadline(steady_time now)
+{
+    const auto timeout = m_options.electionTimeout;
+    const auto spread = m_random.below(static_cast<std::uint64_t>(timeout.count()) + 1);
+    m_electionDeadline = now + timeout + milliseconds(spread);
+}
+
+void replica_core::onPreVoteRequest(const replica_message &message, steady_time now)
+{
+    const bool granted = message.term > m_hard.term && logIsCurrent(message) && !leaderIsFresh(now);
+    // A refusal carries our term, so that a candidate of the past catches up.
+    reply(message, { .kind = replica_message_kind::preVoteReply, .term = granted ? message.term : m_hard.term, .granted = granted });
+}
+
+void replica_core::onPreVoteReply(const replica_message &message, steady_time now)
+{
+    if (!message.granted) {
+        if (message.term > m_hard.term) {
+            becomeFollower(message.term, 0, now);
+        }
+        return;
+    }
+    if (m_role != replica_role::preCandidate || message.term != m_hard.term + 1) {
+        return;
+    }
+    m_votes.insert(message.from.disk);
+    if (isMajority(m_votes)) {
+        startElection(now, false);
+    }
+}
+
+void replica_core::onVoteRequest(const replica_message &message, steady_time now)
+{
+    if (leaderIsFresh(now) && !message.granted) {
+        return;
+    }
+    if (message.term > m_hard.term) {
+        becomeFollower(message.term, 0, now);
+    }
+    const bool free = m_hard.votedFor == 0 || m_hard.votedFor == message.from.disk;
+    const bool granted = message.term == m_hard.term && free && logIsCurrent(message);
+    if (granted && m_hard.votedFor == 0) {
+        m_hard.votedFor = message.from.disk;
+        m_hardChanged = true;
+    }
+    if (granted) {
+        resetElectionDeadline(now);
+    }
+    reply(message, { .kind = replica_message_kind::voteReply, .term = m_hard.term, .granted = granted });
+}
+
+void replica_core::onVoteReply(const replica_message &message, steady_time now)
+{
+    if (message.term > m_hard.term) {
+        becomeFollower(message.term, 0, now);
+        return;
+    }
+    if (m_role != replica_role::candidate || message.term != m_hard.term || !message.granted) {
+        return;
+    }
+    m_votes.insert(message.from.disk);
+    if (isMajority(m_votes)) {
+        becomeLeader(now);
+    }
+}
+
+void replica_core::onAppendRequest(const replica_message &message, steady_time now)
+{
+    replica_message answer{ .kind = replica_message_kind::appendReply, .term = m_hard.term };
+    if (message.term < m_hard.term) {
+        reply(message, std::move(answer));
+        return;
+    }
+    becomeFollower(message.term, message.from.disk, now);
+    m_leaderHeard = now;
+    answer.term = m_hard.term;
+
+    if (message.lastIndex > lastIndex()) {
+        answer.lastIndex = lastIndex();
+        reply(message, std::move(answer));
+        return;
+    }
+    if (message.lastIndex >= m_snapshot.index && termAt(message.lastIndex) != message.lastTerm) {
+        answer.lastIndex = message.lastIndex - 1;
+        reply(message, std::move(answer));
+        return;
+    }
+    acceptEntries(message.entries);
+    const log_index matched = message.lastIndex + message.entries.size();
+    answer.granted = true;
+    answer.lastIndex = std::max(matched, m_snapshot.index);
+    commitTo(std::min(message.commitIndex, answer.lastIndex));
+    reply(message, std::move(answer));
+}
+
+void replica_core::onAppendReply(const replica_message &message, steady_time now)
+{
+    if (message.term > m_hard.term) {
+        becomeFollower(message.term, 0, now);
+        return;
+    }
+    const auto found = m_progress.find(message.from.disk);
+    if (m_role != replica_role::leader || message.term != m_hard.term || found == m_progress.end()) {
+        return;
+    }
+    auto &progress = found->second;
+    progress.lastReply = now;
+    if (!message.granted) {
+        progress.next = std::clamp<log_index>(message.lastIndex + 1, progress.match + 1, lastIndex() + 1);
+        sendAppend(message.from, now);
+        return;
+    }
+    progress.snapshotUntil = {};
+    progress.match = std::max(progress.match, message.lastIndex);
+    progress.next = std::max(progress.next, progress.match + 1);
+    advanceCommit(now);
+    if (progress.match < lastIndex() && progress.next <= lastIndex()) {
+        sendAppend(message.from, now);
+    }
+}
+
+void replica_core::onSnapshotRequest(const replica_message &message, steady_time now)
+{
+    if (message.term < m_hard.term || !message.snapshot) {
+        reply(message, { .kind = replica_message_kind::appendReply, .term = m_hard.term });
+        return;
+    }
+    becomeFollower(message.term, message.from.disk, now);
+    m_leaderHeard = now;
+    if (message.snapshot->index > m_commit) {
+        m_snapshot = *message.snapshot;
+        m_entries.clear();
+        m_output.entries.clear();
+        m_output.committed.clear();
+        m_output.snapshot = m_snapshot;
+        m_commit = m_snapshot.index;
+        m_persisted = m_snapshot.index;
+        restoreConfig();
+    }
+    reply(message, { .kind = replica_message_kind::appendReply, .term = m_hard.term, .lastIndex = m_commit, .granted = true });
+}
+
+void replica_core::acceptEntries(std::span<const log_entry> entries)
+{
+    for (const auto &entry : entries) {
+        if (entry.index <= m_snapshot.index) {
+            continue;
+        }
+        if (entry.index <= lastIndex()) {
+            if (termAt(entry.index) == entry.term) {
+                continue;
+            }
+            truncateFrom(entry.index);
+        }
+        m_entries.push_back(entry);
+        m_output.entries.push_back(entry);
+        if (const auto *changed = configOf(entry)) {
+            m_config = *changed;
+            m_configIndex = entry.index;
+        }
+    }
+}
+
+void replica_core::appendOwn(entry_body body)
+{
+    m_entries.push_back({ .index = lastIndex() + 1, .term = m_hard.term, .body = std::move(body) });
+    m_output.entries.push_back(m_entries.back());
+    if (const auto *changed = configOf(m_entries.back())) {
+        m_config = *changed;
+        m_configIndex = m_entries.back().index;
+        for (const auto &peer : others()) {
+            m_progress.try_emplace(peer.disk, replica_progress{ .next = lastIndex(), .match = 0, .lastReply = {}, .snapshotUntil = {} });
+        }
+        std::erase_if(m_progress, [this](const auto &item) { return !m_config.isVoter(item.first) && !m_config.isLearner(item.first); });
+    }
+}
+
+void replica_core::truncateFrom(log_index index)
+{
+    assert(index > m_commit);
+    m_entries.resize(index - m_snapshot.index - 1);
+    std::erase_if(m_output.entries, [index](const log_entry &entry) { return entry.index >= index; });
+    m_persisted = std::min(m_persisted, index - 1);
+    restoreConfig();
+}
+
+void replica_core::sendAppend(const replica_id &peer, steady_time now)
+{
+    auto &progress = m_progress[peer.disk];
+    if (progress.next <= m_snapshot.index) {
+        sendSnapshot(peer, progress, now);
+        return;
+    }
+    replica_message message{ .kind = replica_message_kind::appendRequest, .from = m_options.self, .to = peer, .term = m_hard.term };
+    message.lastIndex = progress.next - 1;
+    message.lastTerm = termAt(message.lastIndex);
+    message.commitIndex = m_commit;
+    const log_index end = std::min(lastIndex(), progress.next + m_options.entriesAMessage - 1);
+    for (log_index index = progress.next; index <= end; ++index) {
+        message.entries.push_back(entryAt(index));
+    }
+    m_output.messages.push_back(std::move(message));
+}
+
+void replica_core::sendSnapshot(const replica_id &peer, replica_progress &progress, steady_time now)
+{
+    if (now < progress.snapshotUntil) {
+        return;
+    }
+    progress.snapshotUntil = now + snapshotRetry;
+    replica_message message{ .kind = replica_message_kind::snapshotRequest, .from = m_options.self, .to = peer, .term = m_hard.term };
+    message.snapshot = m_snapshot;
+    m_output.messages.push_back(std::move(message));
+}
+
+void replica_core::broadcastAppend(steady_time now)
+{
+    m_heartbeatDeadline = now + m_options.heartbeat;
+    for (const auto &peer : others()) {
+        sendAppend(peer, now);
+    }
+}
+
+void replica_core::requestVotes(replica_message_kind kind, log_term term, bool askedByLeader)
+{
+    for (const auto &voter : m_config.voters) {
+        if (voter.disk == m_options.self.disk) {
+            continue;
+        }
+        m_output.messages.push_back(
+            { .kind = kind, .from = m_options.self, .to = voter, .term = term, .lastIndex = lastIndex(), .lastTerm = lastTerm(), .granted = askedByLeader });
+    }
+}
+
+void replica_core::reply(const replica_message &request, replica_message answer)
+{
+    answer.from = m_options.self;
+    answer.to = request.from;
+    m_output.messages.push_back(std::move(answer));
+}
+
+void replica_core::advanceCommit(steady_time now)
+{
+    for (log_index index = lastIndex(); index > m_commit && termAt(index) == m_hard.term; --index) {
+        std::set<disk_id> holders;
+        if (m_persisted >= index) {
+            holders.insert(m_options.self.disk);
+        }
+        for (const auto &[disk, progress] : m_progress) {
+            if (progress.match >= index) {
+                holders.insert(disk);
+            }
+        }
+        if (!isMajority(holders)) {
+            continue;
+        }
+        commitTo(index);
+        // Followers learn of the commit without waiting for the next heartbeat.
+        m_heartbeatDeadline = std::min(m_heartbeatDeadline, now);
+        if (!m_config.isVoter(m_options.self.disk)) {
+            m_role = replica_role::learner;
+            m_leader = 0;
+        }
+        return;
+    }
+}
+
+void replica_core::commitTo(log_index index)
+{
+    while (m_commit < index) {
+        ++m_commit;
+        m_output.committed.push_back(entryAt(m_commit));
+    }
+}
+
+bool replica_core::hasQuorum(steady_time now) const
+{
+    std::set<disk_id> heard = { m_options.self.disk };
+    for (const auto &[disk, progress] : m_progress) {
+        if (now < progress.lastReply + m_options.electionTimeout) {
+            heard.insert(disk);
+        }
+    }
+    return isMajority(heard);
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/replica/rule_ledger.cpp
@@ -0,0 +1,77 @@
+#include "replica/rule_ledger.h"
+
+#include <algorithm>
+
+namespace hornbeampick
+{
+
+rule_ledger::rule_ledger(ledger_state state)
+    : m_state(std::move(state))
+{
+}
+
+submit_result rule_ledger::apply(const log_entry &entry)
+{
+    m_state.appliedIndex = entry.index;
+    if (const auto *change = std::get_if<rules_change>(&entry.body)) {
+        return accept(*change);
+    }
+    if (const auto *epoch = std::get_if<claim_epoch>(&entry.body)) {
+        open(*epoch);
+    }
+    return { .error = errc::ok, .version = m_state.version, .winner = {}, .winnerOperator = {} };
+}
+
+submit_result rule_ledger::judge(const rules_change &change) const
+{
+    const auto &history = m_state.history;
+    const auto same
+        = std::ranges::find_if(history, [&](const history_record &record) { return record.version == change.version && record.content == change.content; });
+    if (same != history.end()) {
+        return { .error = errc::ok, .version = change.version, .winner = same->content, .winnerOperator = same->operatorName };
+    }
+    // The first file may start at any version; later ones follow one by one.
+    if (m_state.version == 0 || change.version == m_state.version + 1) {
+        return { .error = errc::ok, .version = change.version, .winner = change.content, .winnerOperator = change.operatorName };
+    }
+    const auto winner = std::ranges::find(history, change.version, &history_record::version);
+    if (winner != history.end()) {
+        return { .error = errc::versionConflict, .version = m_state.version, .winner = winner->content, .winnerOperator = winner->operatorName };
+    }
+    return { .error = errc::versionConflict, .version = m_state.version, .winner = m_state.content, .winnerOperator = m_state.operatorName };
+}
+
+submit_result rule_ledger::accept(const rules_change &change)
+{
+    submit_result verdict = judge(change);
+    const bool isNew = verdict.error == errc::ok && change.version > m_state.version;
+    if (!isNew) {
+        return verdict;
+    }
+    m_state.version = change.version;
+    m_state.text = change.text;
+    m_state.content = change.content;
+    m_state.operatorName = change.operatorName;
+    m_state.history.push_back({ .version = change.version, .content = change.content, .operatorName = change.operatorName, .acceptedAt = change.submittedAt });
+    if (m_state.history.size() > historySize) {
+        m_state.history.erase(m_state.history.begin());
+    }
+    return verdict;
+}
+
+void rule_ledger::open(const claim_epoch &epoch)
+{
+    std::uint64_t newest = 0;
+    for (const auto &known : m_state.epochs) {
+        if (known.region == epoch.region) {
+            newest = std::max(newest, known.number);
+        }
+    }
+    if (epoch.number != newest + 1) {
+        return;
+    }
+    m_state.epochs.push_back(epoch);
+    std::erase_if(m_state.epochs, [&](const claim_epoch &known) { return known.region == epoch.region && known.number + openEpochsARegion < epoch.number; });
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/rpc/grpc_peer_server.cpp
@@ -0,0 +1,213 @@
+#include "codec/peer_codec.h"
+#include "rpc/peer_client.h"
+#include "tls_credentials.h"
+
+#include "peer.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+constexpr int messageBytesMaximum = 128 << 20;
+
+using context_pointer = grpc::CallbackServerContext *;
+
+class peer_service final : public schema::peer::CallbackService
+{
+public:
+    peer_service(peer_handler &handler, traffic_meter *meter)
+        : m_handler(handler)
+        , m_meter(meter)
+    {
+    }
+
+    grpc::ServerUnaryReactor *exchange(context_pointer context, const schema::exchange_request *request, schema::exchange_reply *reply) override
+    {
+        *reply = encodeReply(m_handler.onExchange(decode(*request)));
+        count("exchange", *reply);
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *fetch_rules(context_pointer context, const schema::rules_request *request, schema::rules_reply *reply) override
+    {
+        if (const auto state = m_handler.onFetchRules(request->have_index())) {
+            *reply->mutable_state() = encode(*state);
+        }
+        count("spread", *reply);
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *notify_rules(context_pointer context, const schema::rules_notice *request, schema::empty *) override
+    {
+        m_handler.onNotifyRules({ .appliedIndex = request->applied_index(), .root = host_name(request->root()), .tellerAddress = request->teller_address() });
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *relay_announce(context_pointer context, const schema::upstream *request, schema::empty *) override
+    {
+        m_handler.onRelayAnnounce(decode(*request));
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *forward(context_pointer context, const schema::forward_request *request, schema::forward_reply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        m_handler.onForward(decode(*request, std::chrono::steady_clock::now()), [reactor, reply](const forward_result &value) {
+            *reply = encode(value);
+            reactor->Finish(grpc::Status::OK);
+        });
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *claim(context_pointer context, const schema::claim_request *request, schema::claim_reply *reply) override
+    {
+        *reply = encode(m_handler.onClaim(decode(*request)));
+        count("claim", *reply);
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *report_poison(context_pointer context, const schema::poison_notice *request, schema::empty *) override
+    {
+        m_handler.onPoison(decode(*request));
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *status(context_pointer context, const schema::empty *, schema::status_reply *reply) override
+    {
+        *reply = encode(m_handler.onStatus());
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *fleet_status(context_pointer context, const schema::empty *, schema::fleet_status_reply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        m_handler.onFleetStatus([reactor, reply](const hornbeampick::fleet_status &value) {
+            *reply = encode(value);
+            reactor->Finish(grpc::Status::OK);
+        });
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *explain(context_pointer context, const schema::explain_request *request, schema::explain_reply *reply) override
+    {
+        *reply = encode(m_handler.onExplain(service_name(request->service()), request->client()));
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *loads(context_pointer context, const schema::empty *, schema::loads_reply *reply) override
+    {
+        *reply = encode(m_handler.onLoads());
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *submit(context_pointer context, const schema::submit_request *request, schema::submit_reply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        rules_change change = decode(request->change());
+        // Under TLS the certificate names the operator; a relayed change was already named.
+        const std::string name = peerName(*context);
+        if (!name.empty() && !request->relayed()) {
+            change.operatorName = name;
+        }
+        m_handler.onSubmit(change, request->relayed(), milliseconds(request->timeout_ms()), [reactor, reply](const submit_result &value) {
+            *reply = encode(value);
+            reactor->Finish(grpc::Status::OK);
+        });
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *replicate(context_pointer context, const schema::replica_message *request, schema::empty *) override
+    {
+        m_handler.onReplicate(decode(*request));
+        return finish(context);
+    }
+
+    grpc::ServerUnaryReactor *form(context_pointer context, const schema::form_request *request, schema::form_reply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        m_handler.onForm(decode(*request), [reactor, reply](const form_reply &value) {
+            *reply = encode(value);
+            reactor->Finish(grpc::Status::OK);
+        });
+        return reactor;
+    }
+
+private:
+    static grpc::ServerUnaryReactor *finish(context_pointer context)
+    {
+        auto *reactor = context->DefaultReactor();
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+    template <typename Message> void count(std::string_view mechanism, const Message &message) const
+    {
+        if (m_meter != nullptr) {
+            m_meter->onSent(mechanism, message.ByteSizeLong());
+        }
+    }
+
+    peer_handler &m_handler;
+    traffic_meter *m_meter;
+};
+
+class grpc_peer_server final : public peer_server
+{
+public:
+    grpc_peer_server(peer_handler &handler, traffic_meter *meter)
+        : m_service(handler, meter)
+    {
+    }
+
+    ~grpc_peer_server() override
+    {
+        stop(milliseconds(0));
+    }
+
+    bool listen(const std::string &address, const tls_files &tls)
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(address, makeServerCredentials(tls), &m_port);
+        builder.RegisterService(&m_service);
+        builder.SetMaxReceiveMessageSize(messageBytesMaximum);
+        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        m_server = builder.BuildAndStart();
+        return m_server != nullptr && m_port > 0;
+    }
+
+    [[nodiscard]] int port() const override
+    {
+        return m_port;
+    }
+
+    void stop(milliseconds grace) override
+    {
+        if (m_server) {
+            m_server->Shutdown(std::chrono::system_clock::now() + grace);
+            m_server->Wait();
+            m_server.reset();
+        }
+    }
+
+private:
+    peer_service m_service;
+    std::unique_ptr<grpc::Server> m_server;
+    int m_port = 0;
+};
+
+} // namespace
+
+result<std::unique_ptr<peer_server>> makeGrpcPeerServer(const std::string &address, const tls_files &tls, peer_handler &handler, traffic_meter *meter)
+{
+    auto server = std::make_unique<grpc_peer_server>(handler, meter);
+    if (!server->listen(address, tls)) {
+        return errc::ioFailed;
+    }
+    return std::unique_ptr<peer_server>(std::move(server));
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/settings/settings_file.cpp
@@ -0,0 +1,320 @@
+#include "settings/settings_file.h"
+
+#include <arpa/inet.h>
+#include <fstream>
+#include <google/protobuf/descriptor.h>
+#include <google/protobuf/message.h>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <yaml-cpp/yaml.h>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+namespace pb = google::protobuf;
+
+const schema::value_check &checkOf(const pb::FieldDescriptor &field)
+{
+    return field.options().GetExtension(schema::check);
+}
+
+std::string join(const std::string &path, std::string_view key)
+{
+    return path.empty() ? std::string(key) : path + "." + std::string(key);
+}
+
+// Fills a settings message from YAML by reflection; collects every error.
+class settings_reader
+{
+public:
+    explicit settings_reader(std::string_view file)
+        : m_file(file)
+    {
+    }
+
+    void readMessage(const YAML::Node &node, pb::Message &message, const std::string &path)
+    {
+        if (!node.IsMap()) {
+            report(node, path, "a map of keys");
+            return;
+        }
+        std::set<std::string> seen;
+        for (const auto &item : node) {
+            const auto key = item.first.as<std::string>();
+            const auto *field = fieldNamed(message, key);
+            if (field == nullptr) {
+                report(item.first, join(path, key), "a key of the schema; this one is unknown");
+            } else if (!seen.insert(key).second) {
+                report(item.first, join(path, key), "each key once");
+            } else {
+                readField(item.second, message, *field, join(path, key));
+            }
+        }
+        complete(node, message, path, seen);
+    }
+
+    void report(const YAML::Node &node, const std::string &key, std::string_view expected)
+    {
+        const auto mark = node.Mark();
+        const auto line = mark.is_null() ? 0U : static_cast<std::uint32_t>(mark.line + 1);
+        m_errors.push_back({ .file = std::string(m_file), .line = line, .key = key, .expected = std::string(expected) });
+    }
+
+    std::vector<settings_error> take()
+    {
+        return std::move(m_errors);
+    }
+
+private:
+    static const pb::FieldDescriptor *fieldNamed(const pb::Message &message, const std::string &key)
+    {
+        const auto *descriptor = message.GetDescriptor();
+        for (int i = 0; i < descriptor->field_count(); ++i) {
+            if (descriptor->field(i)->json_name() == key) {
+                return descriptor->field(i);
+            }
+        }
+        return nullptr;
+    }
+
+    void readField(const YAML::Node &node, pb::Message &message, const pb::FieldDescriptor &field, const std::string &path)
+    {
+        if (!field.is_repeated()) {
+            readValue(node, message, field, path);
+            return;
+        }
+        if (!node.IsSequence()) {
+            report(node, path, "a list");
+            return;
+        }
+        std::size_t position = 0;
+        for (const auto &item : node) {
+            readValue(item, message, field, path + "[" + std::to_string(position++) + "]");
+        }
+    }
+
+    void readValue(const YAML::Node &node, pb::Message &message, const pb::FieldDescriptor &field, const std::string &path)
+    {
+        const auto &reflection = *message.GetReflection();
+        if (field.cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE) {
+            auto *child = field.is_repeated() ? reflection.AddMessage(&message, &field) : reflection.MutableMessage(&message, &field);
+            readMessage(node, *child, path);
+            return;
+        }
+        if (!node.IsScalar()) {
+            report(node, path, "a single value");
+            return;
+        }
+        switch (field.cpp_type()) {
+        case pb::FieldDescriptor::CPPTYPE_STRING:
+            readString(node, message, field, path);
+            break;
+        case pb::FieldDescriptor::CPPTYPE_BOOL:
+            readBool(node, message, field, path);
+            break;
+        default:
+            readNumber(node, message, field, path);
+            break;
+        }
+    }
+
+    void readString(const YAML::Node &node, pb::Message &message, const pb::FieldDescriptor &field, const std::string &path)
+    {
+        const auto &reflection = *message.GetReflection();
+        const auto text = node.as<std::string>();
+        if (checkOf(field).required() && text.empty()) {
+            report(node, path, "a value that is not empty");
+        }
+        if (field.is_repeated()) {
+            reflection.AddString(&message, &field, text);
+        } else {
+            reflection.SetString(&message, &field, text);
+        }
+    }
+
+    void readBool(const YAML::Node &node, pb::Message &message, const pb::FieldDescriptor &field, const std::string &path)
+    {
+        const auto text = node.as<std::string>();
+        if (text != "true" && text != "false") {
+            report(node, path, "true or false");
+            return;
+        }
+        message.GetReflection()->SetBool(&message, &field, text == "true");
+    }
+
+    void readNumber(const YAML::Node &node, pb::Message &message, const pb::FieldDescriptor &field, const std::string &path)
+    {
+        std::int64_t value = 0;
+        const bool whole = YAML::convert<std::int64_t>::decode(node, value);
+        const auto &check = checkOf(field);
+        if (!whole || value < check.minimum() || (check.maximum() != 0 && value > check.maximum())) {
+            report(node, path, "a whole number from " + std::to_string(check.minimum()) + " to " + std::to_string(check.maximum()));
+            return;
+        }
+        message.GetReflection()->SetUInt32(&message, &field, static_cast<std::uint32_t>(value));
+    }
+
+    // Reports what is missing and sets presets.
+    void complete(const YAML::Node &node, pb::Message &message, const std::string &path, const std::set<std::string> &seen)
+    {
+        const auto *descriptor = message.GetDescriptor();
+        for (int i = 0; i < descriptor->field_count(); ++i) {
+            const auto *field = descriptor->field(i);
+            if (seen.contains(field->json_name())) {
+                continue;
+            }
+            if (checkOf(*field).required()) {
+                report(node, join(path, field->json_name()), "a value; the key is missing");
+            } else if (field->cpp_type() == pb::FieldDescriptor::CPPTYPE_UINT32) {
+                message.GetReflection()->SetUInt32(&message, field, static_cast<std::uint32_t>(checkOf(*field).preset()));
+            } else if (field->cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE && !field->is_repeated()) {
+                readMessage(YAML::Node(YAML::NodeType::Map), *message.GetReflection()->MutableMessage(&message, field), join(path, field->json_name()));
+            }
+        }
+    }
+
+    std::string_view m_file;
+    std::vector<settings_error> m_errors;
+};
+
+bool isAddress(const std::string &text)
+{
+    in_addr parsed{};
+    return ::inet_pton(AF_INET, text.c_str(), &parsed) == 1;
+}
+
+// Checks that span several keys.
+class settings_checker
+{
+public:
+    settings_checker(const schema::daemon_settings &settings, std::string_view file)
+        : m_settings(settings)
+        , m_file(file)
+    {
+    }
+
+    std::vector<settings_error> check()
+    {
+        const topology fleet = topologyOf(m_settings);
+        expect(fleet.find(region_name(m_settings.region())) != nullptr, "region", "a region of 'regions'");
+        expect(fleet.regionOf(domain_name(m_settings.failure_domain())) == region_name(m_settings.region()), "failureDomain",
+               "a failure domain of this host's region");
+        expect(isAddress(m_settings.http().address()), "http.address", "an IP number");
+        expect(isAddress(m_settings.rpc().address()), "rpc.address", "an IP number");
+        expect(m_settings.voters_size() % 2 == 1, "voters", "an odd number of hosts");
+        expect(m_settings.timing().suspect_ms() < m_settings.timing().dead_ms(), "timing.deadMs", "more than timing.suspectMs");
+        checkTls();
+        checkUnique();
+        return std::move(m_errors);
+    }
+
+private:
+    void checkTls()
+    {
+        const auto &tls = m_settings.tls();
+        const bool keyed = !tls.certificate().empty() && !tls.key().empty() && !tls.authority().empty();
+        const bool none = tls.certificate().empty() && tls.key().empty() && tls.authority().empty();
+        expect(tls.plain_text() ? none : keyed, "tls", "certificate, key and authority, or plainText: true and none of them");
+    }
+
+    void checkUnique()
+    {
+        std::set<std::string> services;
+        for (const auto &service : m_settings.services()) {
+            expect(services.insert(service.name()).second, "services", "each service once");
+        }
+        std::set<std::string> domains;
+        for (const auto &region : m_settings.regions()) {
+            for (const auto &domain : region.failure_domains()) {
+                expect(domains.insert(domain).second, "regions", "each failure domain once");
+            }
+        }
+    }
+
+    void expect(bool holds, std::string_view key, std::string_view expected)
+    {
+        if (!holds) {
+            m_errors.push_back({ .file = std::string(m_file), .line = 0, .key = std::string(key), .expected = std::string(expected) });
+        }
+    }
+
+    const schema::daemon_settings &m_settings;
+    std::string_view m_file;
+    std::vector<settings_error> m_errors;
+};
+
+settings_parse failed(std::string_view file, std::uint32_t line, std::string_view key, std::string_view expected)
+{
+    settings_parse parse;
+    parse.errors.push_back({ .file = std::string(file), .line = line, .key = std::string(key), .expected = std::string(expected) });
+    return parse;
+}
+
+} // namespace
+
+std::string settings_error::text() const
+{
+    std::string place = file;
+    if (line > 0) {
+        place += ":" + std::to_string(line);
+    }
+    return place + ": " + key + ": expected " + expected;
+}
+
+settings_parse parseSettings(std::string_view text, std::string_view file)
+{
+    auto settings = std::make_shared<schema::daemon_settings>();
+    try {
+        const YAML::Node root = YAML::Load(std::string(text));
+        settings_reader reader(file);
+        reader.readMessage(root, *settings, "");
+        if (auto errors = reader.take(); !errors.empty()) {
+            return { .settings = nullptr, .errors = std::move(errors) };
+        }
+    } catch (const YAML::Exception &error) {
+        return failed(file, static_cast<std::uint32_t>(error.mark.line + 1), "yaml", error.msg);
+    }
+    if (auto errors = settings_checker(*settings, file).check(); !errors.empty()) {
+        return { .settings = nullptr, .errors = std::move(errors) };
+    }
+    return { .settings = std::move(settings), .errors = {} };
+}
+
+settings_parse loadSettings(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return failed(path, 0, "file", "a file that can be read");
+    }
+    std::ostringstream content;
+    content << file.rdbuf();
+    return parseSettings(content.str(), path);
+}
+
+topology topologyOf(const schema::daemon_settings &settings)
+{
+    std::vector<region_domains> regions;
+    for (const auto &region : settings.regions()) {
+        region_domains made{ .name = region_name(region.name()), .domains = {} };
+        for (const auto &domain : region.failure_domains()) {
+            made.domains.emplace_back(domain);
+        }
+        regions.push_back(std::move(made));
+    }
+    return topology(std::move(regions));
+}
+
+std::vector<service_name> servicesOf(const schema::daemon_settings &settings)
+{
+    std::vector<service_name> services;
+    for (const auto &service : settings.services()) {
+        services.emplace_back(service.name());
+    }
+    return services;
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/steering/retry_budget.cpp
@@ -0,0 +1,40 @@
+#include "steering/retry_budget.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+
+namespace hornbeampick
+{
+
+retry_budget::retry_budget(const retry_budget_options &options)
+    : m_options(options)
+{
+}
+
+void retry_budget::onFirstAttempt(const service_name &service)
+{
+    m_tokens.with(stableHash(service.view()), [&](tokens &all) {
+        double &left = tokensOf(all, service);
+        left = std::min(left + m_options.earned, m_options.most);
+    });
+}
+
+bool retry_budget::take(const service_name &service)
+{
+    return m_tokens.with(stableHash(service.view()), [&](tokens &all) {
+        double &left = tokensOf(all, service);
+        if (left < 1) {
+            return false;
+        }
+        left -= 1;
+        return true;
+    });
+}
+
+double &retry_budget::tokensOf(tokens &all, const service_name &service) const
+{
+    return all.try_emplace(service, m_options.initial).first->second;
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/storage/replica_file_store.cpp
@@ -0,0 +1,203 @@
+#include "storage/replica_file_store.h"
+
+#include "codec/replica_codec.h"
+#include "storage/record_frame.h"
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+constexpr std::string_view identityFile = "identity";
+constexpr std::string_view snapshotFile = "snapshot";
+constexpr std::string_view logFile = "log";
+constexpr std::uint32_t identityFormat = 1;
+
+// A frame of the log: entries, each behind its length.
+std::string encodeEntries(std::span<const log_entry> entries)
+{
+    schema::replica_message batch;
+    for (const auto &entry : entries) {
+        *batch.add_entries() = encode(entry);
+    }
+    return batch.SerializeAsString();
+}
+
+class replica_file_store final : public replica_store
+{
+public:
+    explicit replica_file_store(file_system &files)
+        : m_files(files)
+    {
+    }
+
+    result<replica_image> load() override
+    {
+        replica_image image;
+        if (auto done = loadIdentity(image); !done) {
+            return done.error();
+        }
+        if (auto done = loadSnapshot(image); !done) {
+            return done.error();
+        }
+        if (auto done = loadLog(image); !done) {
+            return done.error();
+        }
+        return image;
+    }
+
+    status saveIdentity(disk_id disk, const hard_state &state) override
+    {
+        schema::hard_state_record record;
+        record.set_format(identityFormat);
+        record.set_disk(disk);
+        record.set_term(state.term);
+        record.set_voted_disk(state.votedFor);
+        return replaceFile(m_files, identityFile, frameRecord(record.SerializeAsString()));
+    }
+
+    status append(std::span<const log_entry> entries) override
+    {
+        const bool isNew = !m_files.exists(logFile);
+        if (auto done = m_files.append(logFile, frameRecord(encodeEntries(entries))); !done) {
+            return done;
+        }
+        if (auto done = m_files.sync(logFile); !done) {
+            return done;
+        }
+        return isNew ? m_files.syncFolder() : status(success());
+    }
+
+    status saveSnapshot(const replica_snapshot &snapshot, std::span<const log_entry> kept) override
+    {
+        // A crash between the two leaves a log that begins before the snapshot: `load` skips what it covers.
+        if (auto done = replaceFile(m_files, snapshotFile, frameRecord(encode(snapshot).SerializeAsString())); !done) {
+            return done;
+        }
+        return replaceFile(m_files, logFile, kept.empty() ? std::string{} : frameRecord(encodeEntries(kept)));
+    }
+
+private:
+    // The only record of a file that is always replaced as a whole.
+    [[nodiscard]] result<std::string> readSingle(std::string_view name) const
+    {
+        const auto content = m_files.read(name);
+        if (!content) {
+            return content.error();
+        }
+        const auto frames = readFrames(content.value());
+        if (!frames) {
+            return frames.error();
+        }
+        if (frames.value().payloads.size() != 1) {
+            return errc::corruptRecord;
+        }
+        return std::string(frames.value().payloads.front());
+    }
+
+    status loadIdentity(replica_image &image) const
+    {
+        if (!m_files.exists(identityFile)) {
+            return m_files.exists(snapshotFile) ? status(errc::corruptRecord) : status(success());
+        }
+        const auto payload = readSingle(identityFile);
+        schema::hard_state_record record;
+        if (!payload) {
+            return payload.error();
+        }
+        if (!record.ParseFromString(payload.value())) {
+            return errc::corruptRecord;
+        }
+        if (record.format() != identityFormat) {
+            return errc::unsupportedFormat;
+        }
+        image.disk = record.disk();
+        image.hard = { .term = record.term(), .votedFor = record.voted_disk() };
+        return success();
+    }
+
+    status loadSnapshot(replica_image &image) const
+    {
+        if (!m_files.exists(snapshotFile)) {
+            return success();
+        }
+        const auto payload = readSingle(snapshotFile);
+        schema::snapshot_record record;
+        if (!payload) {
+            return payload.error();
+        }
+        if (!record.ParseFromString(payload.value())) {
+            return errc::corruptRecord;
+        }
+        image.snapshot = decode(record);
+        image.hard.term = std::max(image.hard.term, image.snapshot.term);
+        return success();
+    }
+
+    status loadLog(replica_image &image)
+    {
+        if (!m_files.exists(logFile)) {
+            return success();
+        }
+        const auto content = m_files.read(logFile);
+        if (!content) {
+            return content.error();
+        }
+        const auto frames = readFrames(content.value());
+        if (!frames) {
+            return frames.error();
+        }
+        for (const auto payload : frames.value().payloads) {
+            schema::replica_message batch;
+            if (!batch.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+                return errc::corruptRecord;
+            }
+            for (const auto &entry : batch.entries()) {
+                if (auto done = place(image, decode(entry)); !done) {
+                    return done;
+                }
+            }
+        }
+        if (frames.value().goodBytes < content.value().size()) {
+            return cutTornTail(frames.value().goodBytes);
+        }
+        return success();
+    }
+
+    static status place(replica_image &image, log_entry entry)
+    {
+        const log_index first = image.snapshot.index + 1;
+        if (entry.index < first) {
+            // It replaced all that was stored behind it, whether the snapshot covers it or not.
+            image.entries.clear();
+            return success();
+        }
+        const log_index position = entry.index - first;
+        if (position > image.entries.size()) {
+            return errc::corruptRecord;
+        }
+        image.entries.resize(position);
+        image.entries.push_back(std::move(entry));
+        return success();
+    }
+
+    status cutTornTail(std::size_t goodBytes)
+    {
+        if (auto done = m_files.truncate(logFile, goodBytes); !done) {
+            return done;
+        }
+        return m_files.sync(logFile);
+    }
+
+    file_system &m_files;
+};
+
+} // namespace
+
+std::unique_ptr<replica_store> makeReplicaFileStore(file_system &files)
+{
+    return std::make_unique<replica_file_store>(files);
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/tool/operator_client.cpp
@@ -0,0 +1,138 @@
+#include "tool/operator_client.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+constexpr milliseconds pollEvery{ 100 };
+
+// A result that one thread waits for.
+template <typename T> class awaited
+{
+public:
+    void set(result<T> value)
+    {
+        {
+            const std::lock_guard guard(m_lock);
+            m_value = std::move(value);
+        }
+        m_ready.notify_all();
+    }
+
+    std::optional<result<T>> wait(milliseconds timeout)
+    {
+        std::unique_lock guard(m_lock);
+        m_ready.wait_for(guard, timeout, [this] { return m_value.has_value(); });
+        return m_value;
+    }
+
+private:
+    std::mutex m_lock;
+    std::condition_variable m_ready;
+    std::optional<result<T>> m_value;
+};
+
+void pause(milliseconds time)
+{
+    awaited<bool> never;
+    never.wait(time);
+}
+
+} // namespace
+
+operator_client::operator_client(peer_client &peers, std::vector<std::string> hosts, milliseconds timeout, clock_source &clock)
+    : m_peers(peers)
+    , m_hosts(std::move(hosts))
+    , m_deadline(clock.now() + timeout)
+    , m_clock(clock)
+{
+}
+
+template <typename T>
+result<T> operator_client::askInTurn(const std::function<void(const std::string &host, milliseconds timeout, peer_done<T> done)> &call,
+                                     const std::function<bool(const T &)> &isFinal)
+{
+    result<T> last = make_error_code(errc::unreachable);
+    while (true) {
+        for (const auto &host : m_hosts) {
+            const auto left = std::chrono::duration_cast<milliseconds>(m_deadline - m_clock.now());
+            if (left <= milliseconds(0)) {
+                return last;
+            }
+            // No host may use up the time of the others.
+            const auto share = std::max(left / 2, milliseconds(1));
+            auto answer = std::make_shared<awaited<T>>();
+            call(host, share, [answer](result<T> value) { answer->set(std::move(value)); });
+            auto got = answer->wait(share + pollEvery);
+            if (got && *got && isFinal(got->value())) {
+                return *got;
+            }
+            if (got && (*got || !last)) {
+                last = *got;
+            }
+        }
+        if (m_hosts.empty() || m_clock.now() + pollEvery >= m_deadline) {
+            return last;
+        }
+        pause(pollEvery);
+    }
+}
+
+result<submit_result> operator_client::submit(const rules_change &change)
+{
+    return askInTurn<submit_result>(
+        [&](const std::string &host, milliseconds timeout, peer_done<submit_result> done) { m_peers.submit(host, change, false, timeout, std::move(done)); },
+        [](const submit_result &answer) { return answer.error != errc::notLeader && answer.error != errc::noQuorum && answer.error != errc::notAVoter; });
+}
+
+result<std::optional<ledger_state>> operator_client::rules()
+{
+    return askInTurn<std::optional<ledger_state>>([&](const std::string &host, milliseconds timeout,
+                                                      peer_done<std::optional<ledger_state>> done) { m_peers.fetchRules(host, 0, timeout, std::move(done)); },
+                                                  [](const std::optional<ledger_state> &) { return true; });
+}
+
+result<fleet_status> operator_client::status()
+{
+    return askInTurn<fleet_status>(
+        [&](const std::string &host, milliseconds timeout, peer_done<fleet_status> done) { m_peers.fleetStatus(host, timeout, std::move(done)); },
+        [](const fleet_status &) { return true; });
+}
+
+result<steering_explanation> operator_client::explain(const service_name &service, const std::string &client)
+{
+    return askInTurn<steering_explanation>([&](const std::string &host, milliseconds timeout,
+                                               peer_done<steering_explanation> done) { m_peers.explain(host, service, client, timeout, std::move(done)); },
+                                           [](const steering_explanation &) { return true; });
+}
+
+result<std::vector<service_region_load>> operator_client::loads()
+{
+    return askInTurn<std::vector<service_region_load>>(
+        [&](const std::string &host, milliseconds timeout, peer_done<std::vector<service_region_load>> done) { m_peers.loads(host, timeout, std::move(done)); },
+        [](const std::vector<service_region_load> &) { return true; });
+}
+
+result<fleet_status> operator_client::awaitVersion(std::uint64_t version)
+{
+    while (true) {
+        auto current = status();
+        if (!current) {
+            return current;
+        }
+        const bool everywhere = std::ranges::all_of(current.value().hosts, [version](const host_status &host) { return host.ruleVersion >= version; });
+        if (everywhere || m_clock.now() + pollEvery >= m_deadline) {
+            return current;
+        }
+        pause(pollEvery);
+    }
+}
+
+} // namespace hornbeampick
