--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,307 @@
+// The bench: one binary, cases by name.
+
+#include "codec/peer_codec.h"
+#include "fleet/member_table.h"
+#include "fleet/spread_tree.h"
+#include "replica/rule_ledger.h"
+#include "rules/rule_parser.h"
+#include "steering/steering_table.h"
+#include "steering_model.h"
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <new>
+#include <thread>
+
+namespace
+{
+
+using namespace hornbeampick;
+using namespace hornbeampick::bench;
+
+std::atomic<std::uint64_t> allocations {0};
+
+constexpr std::array policies {policy::owners, policy::randomUpstream, policy::roundRobin, policy::leastByReports, policy::centralQueue};
+
+void printHead()
+{
+    std::printf("| case | load | policy | p50 ms | p99 ms | p99.9 ms | p99 / central | useful | goodput | wasted | lowest headroom | over slots |\n");
+    std::printf("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+}
+
+void playAll(model_case given)
+{
+    given.by = policy::centralQueue;
+    const auto bound = play(given);
+    for (const auto by : policies) {
+        given.by = by;
+        const auto got = by == policy::centralQueue ? bound : play(given);
+        std::printf("| %s | %.1f | %s | %.1f | %.1f | %.1f | %.2f | %.3f | %.3f | %.3f | %lld | %lld |\n", std::string(nameOf(given.with)).c_str(), given.load,
+                    std::string(nameOf(by)).c_str(), got.p50, got.p99, got.p999, got.p99 / bound.p99, got.useful, got.goodput, got.wasted,
+                    static_cast<long long>(got.lowestHeadroom), static_cast<long long>(got.overSlots));
+    }
+}
+
+// Vanderelst: three hosts in Antwerpen; Derwent: two in Burnie. Upstreams of one service in one region.
+void policyTables()
+{
+    struct user {
+        const char *name;
+        model_case region;
+    };
+    const std::array users {
+        user {"Vanderelst, look-up in Antwerpen", {.hosts = 3, .upstreams = 6, .betweenDomains = milliseconds(2)}},
+        user {"Derwent, slot check in Burnie", {.hosts = 2, .upstreams = 6, .betweenDomains = milliseconds(1)}},
+    };
+    for (const auto &each : users) {
+        std::printf("\n### %s\n\n", each.name);
+        printHead();
+        for (const double load : {0.3, 0.5, 0.8, 0.9, 1.0, 1.2, 1.5}) {
+            model_case given = each.region;
+            given.load = load;
+            playAll(given);
+        }
+        for (const auto with : {disturbance::domainLost, disturbance::thirdMoved, disturbance::reportsLate, disturbance::reportsFrozen, disturbance::coldStart,
+                                disturbance::slowUpstream}) {
+            model_case given = each.region;
+            given.with = with;
+            given.load = with == disturbance::domainLost ? 0.4 : 0.6;
+            playAll(given);
+        }
+    }
+}
+
+struct table_size {
+    std::size_t blocks;
+    std::size_t homes;
+    std::size_t members;
+};
+
+std::shared_ptr<const rule_set> rulesWith(const table_size &size, const std::vector<region_domains> &regions)
+{
+    auto rules = std::make_shared<rule_set>();
+    rules->version = 1;
+    std::vector<block_home> blocks;
+    for (std::size_t i = 0; i < size.blocks; ++i) {
+        const auto address = static_cast<ipv4>((1U << 24U) + i * 512);
+        blocks.push_back({.block = {.address = address, .prefixBits = 24}, .home = static_cast<region_index>(i * 7919 % size.homes)});
+    }
+    for (std::size_t i = 0; i < size.homes; ++i) {
+        rules->homeRegions.push_back(regions[i % regions.size()].name);
+    }
+    rules->homes = block_table::make(blocks);
+    return rules;
+}
+
+// Cost of one look-up, and of making the table anew.
+void lookUpCost(const table_size &size, std::size_t regionCount)
+{
+    std::vector<region_domains> regions;
+    for (std::size_t i = 0; i < regionCount; ++i) {
+        regions.push_back({.name = region_name("r" + std::to_string(100 + i)), .domains = {domain_name("d" + std::to_string(i))}});
+    }
+    std::vector<fleet_member> members;
+    for (std::size_t i = 0; i < size.members; ++i) {
+        members.push_back({.host = host_name("h" + std::to_string(i)), .httpAddress = "a:1", .rpcAddress = "a:2", .region = regions[i % regionCount].name});
+    }
+    const std::vector<service_name> services {service_name("a"), service_name("b"), service_name("c"), service_name("d")};
+    const auto rules = rulesWith(size, regions);
+    const steering_inputs inputs {
+        .rules = rules, .regions = regions, .services = services, .members = members, .loads = {}, .localRegion = regions.front().name, .now = 0};
+    const auto buildStart = std::chrono::steady_clock::now();
+    const steering_table table(inputs);
+    const auto buildTime = std::chrono::steady_clock::now() - buildStart;
+
+    constexpr std::uint64_t lookUps = 2'000'000;
+    for (unsigned threads = 1; threads <= 6; ++threads) {
+        std::atomic<std::uint64_t> sink {0};
+        const auto allocatedBefore = allocations.load();
+        const auto start = std::chrono::steady_clock::now();
+        std::vector<std::thread> workers;
+        for (unsigned t = 0; t < threads; ++t) {
+            workers.emplace_back([&, t] {
+                std::uint64_t sum = 0;
+                std::uint32_t client = 0x9e3779b9U * (t + 1);
+                for (std::uint64_t i = 0; i < lookUps; ++i) {
+                    client = client * 1664525U + 1013904223U;
+                    sum += table.choose(i % services.size(), client).destination;
+                }
+                sink += sum;
+            });
+        }
+        for (auto &worker : workers) {
+            worker.join();
+        }
+        const double ns = std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - start).count() / static_cast<double>(lookUps);
+        // Starting a thread allocates; looking up must not.
+        const bool none = allocations.load() - allocatedBefore < 64;
+        std::printf("| %zu | %zu | %zu | %u | %.1f | %s | %.1f | %.2f | %.2f |\n", size.blocks, size.homes, size.members, threads, ns, none ? "none" : "some",
+                    static_cast<double>(rules->homes.memoryBytes()) / 1e6, static_cast<double>(table.memoryBytes()) / 1e6,
+                    std::chrono::duration<double, std::milli>(buildTime).count());
+    }
+}
+
+void lookUpTables()
+{
+    std::printf("\n| blocks | homes | members | threads | ns a look-up and thread | allocations | block table MB | steering table MB | build ms |\n");
+    std::printf("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    lookUpCost({.blocks = 100, .homes = 3, .members = 7}, 3);
+    lookUpCost({.blocks = 300'000, .homes = 370, .members = 875}, 10);
+    lookUpCost({.blocks = 600'000, .homes = 370, .members = 1750}, 10);
+    lookUpCost({.blocks = 1'200'000, .homes = 370, .members = 3500}, 10);
+}
+
+// Time and memory to read a rule file of so many client blocks.
+void parseCost()
+{
+    std::printf("\n| client blocks | file MB | parse ms | ms a 1000 blocks |\n| --- | --- | --- | --- |\n");
+    for (const std::size_t blocks : {10'000, 50'000, 200'000}) {
+        std::string text = "version 1\n";
+        for (std::size_t i = 0; i < blocks; ++i) {
+            text += "clients " + std::to_string(1 + i / 32768) + "." + std::to_string(i / 128 % 256) + "." + std::to_string(i % 128 * 2) + ".0/24 home r"
+                + std::to_string(i % 10) + " # network team\n";
+        }
+        const auto start = std::chrono::steady_clock::now();
+        const auto parsed = parseRules(text, "bench");
+        const double ms = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start).count();
+        std::printf("| %zu | %.1f | %.1f | %.2f |%s\n", blocks, static_cast<double>(text.size()) / 1e6, ms, ms * 1000 / static_cast<double>(blocks),
+                    parsed.rules ? "" : " does not parse");
+    }
+}
+
+fleet_member benchMember(std::size_t i)
+{
+    return {
+        .host = host_name("host-" + std::to_string(100000 + i)),
+        .httpAddress = "10.100.200.30:7080",
+        .rpcAddress = "10.100.200.30:7081",
+        .region = region_name("region-" + std::to_string(i % 10)),
+        .domain = domain_name("domain-" + std::to_string(i % 30)),
+        .incarnation = 1'790'000'000'000 + i,
+    };
+}
+
+double bytesOf(const exchange_message &message)
+{
+    return static_cast<double>(encode(message).ByteSizeLong());
+}
+
+template <typename Work> double microsOf(int rounds, Work work)
+{
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < rounds; ++i) {
+        work();
+    }
+    return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start).count() / rounds;
+}
+
+// What a daemon spends on the fleet, by its size.
+void fleetCost()
+{
+    std::printf("\n| daemons | table KB encoded | message bytes, no change | bytes a changed member | digest us | members copy us | tree us |\n");
+    std::printf("| --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const std::size_t size : {7, 875, 1750, 3500}) {
+        const steady_time now(seconds(1000));
+        member_table table(benchMember(0), {});
+        exchange_message whole;
+        for (std::size_t i = 1; i < size; ++i) {
+            table.merge(benchMember(i), now);
+            whole.members.push_back(benchMember(i));
+        }
+        exchange_message plain;
+        plain.sender = benchMember(0);
+        plain.membersDigest = table.tableDigest();
+        plain.upstreamsDigest = plain.membersDigest;
+        plain.appliedIndex = 100'000;
+        for (const auto *service : {"lookup", "weigh-in", "settlement", "release"}) {
+            plain.loads.push_back({.service = service_name(service), .load = {.slots = 60, .inFlight = 30, .queued = 1}});
+        }
+        exchange_message changed = plain;
+        changed.members.push_back(benchMember(1));
+        constexpr int rounds = 200;
+        const auto members = table.members();
+        const double digestTime = microsOf(rounds, [&] { table.tableDigest(); });
+        const double copyTime = microsOf(rounds, [&] { (void)table.members(); });
+        const double treeTime = microsOf(rounds, [&] { (void)spreadChildren(members, members.front().host, members.front().host, 4); });
+        std::printf("| %zu | %.1f | %.0f | %.0f | %.1f | %.1f | %.1f |\n", size, bytesOf(whole) / 1e3, bytesOf(plain), bytesOf(changed) - bytesOf(plain),
+                    digestTime, copyTime, treeTime);
+    }
+}
+
+// What one accepted change costs the log and each fetch, by the size of the rule file.
+void changeCost()
+{
+    std::printf("\n| rule lines | entry KB | state KB with 4096 versions of history | encode ms | decode ms |\n| --- | --- | --- | --- | --- |\n");
+    for (const std::size_t lines : {100, 1'000, 10'000}) {
+        rule_ledger ledger;
+        std::string text = "version 1\n";
+        for (std::size_t i = 0; i < lines; ++i) {
+            text += "clients 10." + std::to_string(i / 128 % 256) + "." + std::to_string(i % 128 * 2) + ".0/24 home Gent # network team\n";
+        }
+        log_entry entry;
+        for (std::uint64_t version = 1; version <= rule_ledger::historySize; ++version) {
+            entry = {.index = version,
+                     .term = 1,
+                     .body = rules_change {.version = version, .text = text, .operatorName = "ann", .submittedAt = 1, .content = digestOf({text})}};
+            ledger.apply(entry);
+        }
+        const auto state = encode(ledger.state());
+        const std::string bytes = state.SerializeAsString();
+        constexpr int rounds = 20;
+        const double encodeTime = microsOf(rounds, [&] { (void)encode(ledger.state()).SerializeAsString(); });
+        const double decodeTime = microsOf(rounds, [&] {
+            schema::ledger_state parsed;
+            parsed.ParseFromString(bytes);
+            (void)decode(parsed);
+        });
+        std::printf("| %zu | %.1f | %.1f | %.2f | %.2f |\n", lines, static_cast<double>(encode(entry).ByteSizeLong()) / 1e3,
+                    static_cast<double>(bytes.size()) / 1e3, encodeTime / 1e3, decodeTime / 1e3);
+    }
+}
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    allocations.fetch_add(1, std::memory_order_relaxed);
+    if (void *memory = std::malloc(size)) {
+        return memory;
+    }
+    throw std::bad_alloc();
+}
+
+void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void *memory, std::size_t) noexcept
+{
+    std::free(memory);
+}
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("hb_bench", "Measures decisions. Cases: policy, lookup, parse, fleet, change.");
+    options.add_options()("case", "case to run; all without", cxxopts::value<std::string>()->default_value(""));
+    const auto wanted = options.parse(argc, argv)["case"].as<std::string>();
+    if (wanted.empty() || wanted == "policy") {
+        policyTables();
+    }
+    if (wanted.empty() || wanted == "lookup") {
+        lookUpTables();
+    }
+    if (wanted.empty() || wanted == "parse") {
+        parseCost();
+    }
+    if (wanted.empty() || wanted == "fleet") {
+        fleetCost();
+    }
+    if (wanted.empty() || wanted == "change") {
+        changeCost();
+    }
+}
--- a/include/claims/claim_store.h
+++ b/include/claims/claim_store.h
@@ -66,7 +66,7 @@
 
     claim_store_options m_options;
     shards<records> m_records;
-    std::atomic<std::size_t> m_bytes{ 0 };
+    std::atomic<std::size_t> m_bytes {0};
     mutable std::mutex m_closedLock;
     std::map<region_name, std::uint64_t> m_firstOpen;
 };
--- a/include/claims/epoch_keeper.h
+++ b/include/claims/epoch_keeper.h
@@ -14,7 +14,7 @@
 
 struct epoch_keeper_options {
     // An epoch is followed by the next after this long.
-    milliseconds epochLength{ 600000 };
+    milliseconds epochLength {600000};
 };
 
 /// The leader's choice of the next claim epoch: a group of three for each region, a host in
--- a/include/core/error.h
+++ b/include/core/error.h
@@ -21,6 +21,7 @@
     headerTooLarge = 8,
     unknownPath = 9,
     malformedAnnouncement = 10,
+    requestTooSlow = 11,
     // Request path.
     noUpstream = 20,
     overloaded = 21,
--- a/include/core/names.h
+++ b/include/core/names.h
@@ -48,6 +48,6 @@
 template <typename Tag> struct std::hash<hornbeampick::tagged_name<Tag>> {
     std::size_t operator()(const hornbeampick::tagged_name<Tag> &name) const noexcept
     {
-        return std::hash<std::string_view>{}(name.view());
+        return std::hash<std::string_view> {}(name.view());
     }
 };
--- a/include/core/published.h
+++ b/include/core/published.h
@@ -25,7 +25,7 @@
     /// Null before the first `set`.
     [[nodiscard]] pointer get() const
     {
-        const std::size_t thread = std::hash<std::thread::id>{}(std::this_thread::get_id());
+        const std::size_t thread = std::hash<std::thread::id> {}(std::this_thread::get_id());
         return m_values.with(thread, [](const pointer &value) { return value; });
     }
 
--- a/include/core/shards.h
+++ b/include/core/shards.h
@@ -52,7 +52,7 @@
 
     struct alignas(cacheLineBytes) shard {
         mutable std::mutex lock;
-        State state{};
+        State state {};
     };
 
     std::array<shard, Count> m_shards;
--- a/include/daemon/fleet_agent.h
+++ b/include/daemon/fleet_agent.h
@@ -38,12 +38,12 @@
 
 struct fleet_agent_options {
     std::vector<std::string> seeds;
-    milliseconds exchangeEvery{ 250 };
-    milliseconds exchangeTimeout{ 500 };
+    milliseconds exchangeEvery {250};
+    milliseconds exchangeTimeout {500};
     // Without an answer from another failure domain for this long, this one counts as cut off.
-    milliseconds cutOffAfter{ 3000 };
+    milliseconds cutOffAfter {3000};
     // Wait before a changed split of the caps is used in full.
-    milliseconds settle{ 1000 };
+    milliseconds settle {1000};
     std::size_t spreadFanout = 4;
 };
 
@@ -90,13 +90,13 @@
     fleet_agent_parts m_parts;
     fleet_agent_options m_options;
     exchange_planner m_planner;
-    std::atomic<bool> m_stopped{ false };
-    std::atomic<bool> m_fetching{ false };
+    std::atomic<bool> m_stopped {false};
+    std::atomic<bool> m_fetching {false};
 
     // Upstream records that changed lately, by instance, to be passed on.
     struct fresh_report {
         upstream_report report;
-        steady_time changedAt{};
+        steady_time changedAt {};
     };
     mutable std::mutex m_freshLock;
     std::map<instance_name, fresh_report> m_fresh;
--- a/include/daemon/front_end.h
+++ b/include/daemon/front_end.h
@@ -18,7 +18,7 @@
 /// How one service is carried.
 struct service_traits {
     bool idempotent = false;
-    milliseconds timeout{ 5000 };
+    milliseconds timeout {5000};
 };
 
 /// Gives the daemon's view of itself and the fleet to operators.
@@ -47,8 +47,8 @@
 
 struct front_end_options {
     std::map<std::string, service_traits, std::less<>> services;
-    milliseconds lookupTtl{ 1000 };
-    milliseconds announceTtl{ 2000 };
+    milliseconds lookupTtl {1000};
+    milliseconds announceTtl {2000};
 };
 
 /// Callers', upstreams' and operators' HTTP calls, turned into the daemon's own types and back.
--- a/include/daemon/rule_keeper.h
+++ b/include/daemon/rule_keeper.h
@@ -40,7 +40,7 @@
     std::mutex m_updateLock;
     published<ledger_state> m_state;
     published<rule_set> m_rules;
-    std::atomic<wall_ms> m_inForceSince{ 0 };
+    std::atomic<wall_ms> m_inForceSince {0};
 };
 
 } // namespace hornbeampick
--- a/include/fleet/member_table.h
+++ b/include/fleet/member_table.h
@@ -45,11 +45,11 @@
 
 struct member_table_options {
     // A suspect that did not refute for this long is dead.
-    milliseconds deadAfter{ 3000 };
+    milliseconds deadAfter {3000};
     // Changes are passed on for this long; digests repair what is missed.
-    milliseconds freshFor{ 30000 };
+    milliseconds freshFor {30000};
     // A dead member is forgotten after this long.
-    milliseconds forgetAfter{ seconds(86400) };
+    milliseconds forgetAfter {seconds(86400)};
 };
 
 /// The daemons that this one knows, their state, and what to pass on about them.
@@ -93,8 +93,8 @@
 private:
     struct record {
         fleet_member member;
-        steady_time changedAt{};
-        steady_time heardAt{};
+        steady_time changedAt {};
+        steady_time heardAt {};
         int missed = 0;
     };
 
--- a/include/http/http_server.h
+++ b/include/http/http_server.h
@@ -53,8 +53,8 @@
     std::size_t headerBytes = 16384;
     std::size_t bodyBytes = 1048576;
     std::size_t connections = 4096;
-    milliseconds idle{ 30000 };
-    milliseconds headerTime{ 5000 };
+    milliseconds idle {30000};
+    milliseconds headerTime {5000};
 };
 
 /// Serves HTTP/1.1 until stopped. Slow, oversized and malformed input gets a 4xx and a closed connection.
--- a/include/http/upstream_client.h
+++ b/include/http/upstream_client.h
@@ -44,8 +44,8 @@
     // Idle connections kept to one upstream.
     std::size_t idleAnUpstream = 32;
     // An upstream may close sooner; a connection found closed is not used.
-    milliseconds idle{ 5000 };
-    milliseconds connectTime{ 500 };
+    milliseconds idle {5000};
+    milliseconds connectTime {500};
     std::size_t answerBytes = 8U << 20U;
 };
 
--- a/include/replica/formation.h
+++ b/include/replica/formation.h
@@ -64,7 +64,7 @@
     replica_id m_self;
     std::vector<bootstrap_voter> m_listed;
     milliseconds m_retry;
-    steady_time m_next{};
+    steady_time m_next {};
     // New disks heard of, by host.
     std::map<host_name, replica_id> m_unformed;
     bool m_peerFormed = false;
--- a/include/replica/replica_core.h
+++ b/include/replica/replica_core.h
@@ -17,8 +17,8 @@
 struct replica_options {
     replica_id self;
     // An election starts after one to two of these without a leader.
-    milliseconds electionTimeout{ 600 };
-    milliseconds heartbeat{ 100 };
+    milliseconds electionTimeout {600};
+    milliseconds heartbeat {100};
     std::size_t entriesAMessage = 256;
 };
 
@@ -41,9 +41,9 @@
 struct replica_progress {
     log_index next = 1;
     log_index match = 0;
-    steady_time lastReply{};
+    steady_time lastReply {};
     // A snapshot is under way until then.
-    steady_time snapshotUntil{};
+    steady_time snapshotUntil {};
 };
 
 /// Decisions of one replica of the log: elections with pre-vote, replication, commit, configuration.
@@ -166,9 +166,9 @@
     log_index m_persisted = 0;
     replica_role m_role = replica_role::follower;
     disk_id m_leader = 0;
-    steady_time m_leaderHeard{};
-    steady_time m_electionDeadline{};
-    steady_time m_heartbeatDeadline{};
+    steady_time m_leaderHeard {};
+    steady_time m_electionDeadline {};
+    steady_time m_heartbeatDeadline {};
     std::set<disk_id> m_votes;
     std::map<disk_id, replica_progress> m_progress;
     replica_output m_output;
--- a/include/replica/replica_engine.h
+++ b/include/replica/replica_engine.h
@@ -39,8 +39,8 @@
     host_name host;
     std::string address;
     std::vector<bootstrap_voter> bootstrap;
-    milliseconds electionTimeout{ 600 };
-    milliseconds heartbeat{ 100 };
+    milliseconds electionTimeout {600};
+    milliseconds heartbeat {100};
     // Applied entries kept before a snapshot replaces them.
     std::size_t snapshotEntries = 1024;
 };
--- a/include/replica/voter_repair.h
+++ b/include/replica/voter_repair.h
@@ -13,7 +13,7 @@
 /// A disk that asked to be added, and when it asked last.
 struct join_request {
     replica_id replica;
-    steady_time askedAt{};
+    steady_time askedAt {};
 };
 
 /// Decides the leader's next change of configuration, one at a time:
--- a/include/rpc/peer_client.h
+++ b/include/rpc/peer_client.h
@@ -20,7 +20,7 @@
 using call_canceller = std::function<void()>;
 
 /// Calls to other daemons by "ip:port". Every `done` is called exactly once, from any thread;
-/// failures are peerUnreachable or timedOut. Thread-safe.
+/// failures are unreachable (surely not sent), peerUnreachable or timedOut. Thread-safe.
 class peer_client
 {
 public:
@@ -31,7 +31,6 @@
     virtual void fetchRules(const std::string &address, std::uint64_t haveIndex, milliseconds timeout, peer_done<std::optional<ledger_state>> done) = 0;
     virtual void notifyRules(const std::string &address, const rules_notice &notice) = 0;
     virtual void relayAnnounce(const std::string &address, const upstream_report &report) = 0;
-    /// `unreachable` instead of peerUnreachable: surely nothing was sent.
     virtual call_canceller forward(const std::string &address, const forward_message &message, peer_done<forward_result> done) = 0;
     virtual void claim(const std::string &address, const claim_request &request, milliseconds timeout, peer_done<claim_reply> done) = 0;
     virtual void reportPoison(const std::string &address, const upstream_death &death, milliseconds timeout, peer_done<bool> done) = 0;
--- a/include/rpc/peer_types.h
+++ b/include/rpc/peer_types.h
@@ -61,7 +61,7 @@
     std::string body;
     // Address of the caller, as one number: its turns in queues.
     std::uint64_t caller = 0;
-    steady_time deadline{};
+    steady_time deadline {};
     bool idempotent = false;
     region_name home;
     bool shifted = false;
@@ -81,7 +81,7 @@
     std::uint32_t status = 0;
     http_headers headers;
     std::string body;
-    milliseconds retryAfter{};
+    milliseconds retryAfter {};
     bool upstreamDied = false;
     instance_name instance;
 
@@ -99,7 +99,7 @@
     carried_request request;
     host_name senderHost;
     region_name senderRegion;
-    milliseconds timeout{};
+    milliseconds timeout {};
 };
 
 struct forward_result {
--- a/include/steering/cap_table.h
+++ b/include/steering/cap_table.h
@@ -42,7 +42,7 @@
 struct cap_receipt {
     cap_key key;
     std::uint64_t units = 0;
-    steady_time takenAt{};
+    steady_time takenAt {};
 };
 
 /// Position of a host among those that share a failure domain's part of every cap.
@@ -64,9 +64,10 @@
 
     /// Takes effect at once; spent units stay counted.
     void setRules(std::shared_ptr<const rule_set> rules);
-    /// This host's seat among the serving hosts of its failure domain. Until `from`, when the others
-    /// surely know the new split, the smaller of the old and the new part holds; at first that is nothing.
-    void setSeat(const cap_seat &seat, steady_time from);
+    /// This host's seat among the serving hosts of its failure domain. Until `from`, when the others surely know the
+    /// new split and what they spent has left the window, this host also keeps to every earlier seat that was not
+    /// over yet; at first that is nothing.
+    void setSeat(const cap_seat &seat, steady_time now, steady_time from);
 
     /// Empty when the cap is reached; a receipt of no units when no cap is set.
     std::optional<cap_receipt> take(const cap_key &key, std::uint64_t units, steady_time now);
@@ -81,11 +82,16 @@
 private:
     [[nodiscard]] std::optional<std::uint64_t> totalOf(const rule_set &rules, const cap_key &key) const;
 
+    struct former_seat {
+        std::optional<cap_seat> seat;
+        steady_time until {};
+    };
+
     struct split {
         std::shared_ptr<const rule_set> rules;
-        std::optional<cap_seat> former;
         std::optional<cap_seat> current;
-        steady_time from{};
+        // Earlier seats that still bound this host's part; an empty one allows nothing.
+        std::vector<former_seat> former;
     };
 
     [[nodiscard]] std::uint64_t partOf(std::uint64_t total, const std::optional<cap_seat> &seat) const;
--- a/include/steering/load_view.h
+++ b/include/steering/load_view.h
@@ -44,7 +44,7 @@
     struct peer_load {
         region_name region;
         pool_load load;
-        steady_time reportedAt{};
+        steady_time reportedAt {};
         // Sent since the report and not returned yet.
         std::uint32_t pending = 0;
     };
--- a/include/steering/poison_registry.h
+++ b/include/steering/poison_registry.h
@@ -22,7 +22,7 @@
 struct poison_options {
     // Deaths after which a request is quarantined.
     std::size_t deathsToQuarantine = 2;
-    milliseconds quarantine{ 600000 };
+    milliseconds quarantine {600000};
 };
 
 /// Requests that upstreams died of, by digest. Thread-safe, a lock a shard.
@@ -45,7 +45,7 @@
 private:
     struct suspect {
         std::vector<upstream_death> deaths;
-        steady_time lastDeath{};
+        steady_time lastDeath {};
         bool running = false;
     };
     using suspects = std::unordered_map<digest, suspect>;
--- a/include/steering/request_gate.h
+++ b/include/steering/request_gate.h
@@ -80,7 +80,7 @@
     pool_options m_options;
     clock_source &m_clock;
     random_source &m_random;
-    std::atomic<request_number> m_nextNumber{ 1 };
+    std::atomic<request_number> m_nextNumber {1};
     shards<entries> m_entries;
 };
 
--- a/include/steering/service_pool.h
+++ b/include/steering/service_pool.h
@@ -22,13 +22,13 @@
 
 struct pool_options {
     // An upstream without a report for this long is silent.
-    milliseconds announceTtl{ 2000 };
+    milliseconds announceTtl {2000};
     // Longest wait in the queue.
-    milliseconds queueLimit{ 250 };
+    milliseconds queueLimit {250};
     // A cold upstream gets its slots one by one over this time.
-    milliseconds slowStart{ 2000 };
+    milliseconds slowStart {2000};
     // Wait before the first use of an upstream gained from another host.
-    milliseconds handover{ 1000 };
+    milliseconds handover {1000};
 };
 
 /// One request that wants a slot.
@@ -36,7 +36,7 @@
     request_number number = 0;
     // Requests of one caller share its turns in the queue.
     std::uint64_t caller = 0;
-    steady_time deadline{};
+    steady_time deadline {};
     // The upstream that just failed this request; used only when there is no other.
     std::optional<instance_name> avoid;
 };
@@ -48,7 +48,7 @@
     instance_name instance;
     std::string address;
     std::uint64_t incarnation = 0;
-    steady_time grantedAt{};
+    steady_time grantedAt {};
 };
 
 /// The request waits for a slot.
@@ -60,7 +60,7 @@
     request_number number = 0;
     errc error = errc::overloaded;
     // Estimate of when a slot will be free.
-    milliseconds retryAfter{};
+    milliseconds retryAfter {};
 };
 
 using admission = std::variant<slot_grant, slot_queued, slot_refused>;
@@ -134,13 +134,15 @@
     struct upstream {
         upstream_report report;
         upstream_life life;
-        steady_time heardAt{};
-        steady_time activeSince{};
-        steady_time answeredAt{};
+        steady_time heardAt {};
+        steady_time activeSince {};
+        steady_time answeredAt {};
         bool owned = false;
         bool drained = false;
-        steady_time usableFrom{};
+        steady_time usableFrom {};
         std::uint32_t inFlight = 0;
+        // Work of a former owner that may still run there.
+        std::uint32_t inherited = 0;
         // Smoothed time of an answer, microseconds; 0: none yet.
         double answerTime = 0;
         std::uint32_t answers = 0;
@@ -148,11 +150,10 @@
 
     struct waiter {
         admit_request request;
-        steady_time giveUpAt{};
+        steady_time giveUpAt {};
     };
 
     [[nodiscard]] std::uint32_t usableSlots(const upstream &candidate, steady_time now) const;
-    [[nodiscard]] std::uint32_t heldSlots(const upstream &candidate, steady_time now) const;
     [[nodiscard]] bool isSlow(const upstream &candidate) const;
     [[nodiscard]] bool worthWaiting(const upstream &slow, std::uint32_t usualSlots) const;
     upstream *choose(const std::optional<instance_name> &avoid, steady_time now, std::uint64_t turn);
--- a/include/steering/steering_table.h
+++ b/include/steering/steering_table.h
@@ -50,7 +50,7 @@
     region_name localRegion;
     wall_ms now = 0;
     // Drains begin this much earlier, so that cached answers have run out when they start.
-    milliseconds lookupTtl{};
+    milliseconds lookupTtl {};
 };
 
 /// Answer of a look-up. Positions point into the table that gave it.
@@ -61,7 +61,7 @@
     region_index destination = 0;
     steering_reason reason = steering_reason::home;
     std::uint8_t entryCount = 0;
-    std::array<std::uint16_t, entriesMaximum> entries{};
+    std::array<std::uint16_t, entriesMaximum> entries {};
 
     [[nodiscard]] bool shifted() const
     {
--- a/include/steering/window_limiter.h
+++ b/include/steering/window_limiter.h
@@ -16,7 +16,7 @@
 class window_limiter
 {
 public:
-    static constexpr milliseconds window{ 1000 };
+    static constexpr milliseconds window {1000};
     static constexpr std::size_t slices = 20;
 
     explicit window_limiter(std::uint64_t limit = 0);
@@ -47,7 +47,7 @@
     std::uint64_t m_used = 0;
     std::int64_t m_newest = 0;
     // One more than the window holds: the slice that is partly past still counts.
-    std::array<std::uint64_t, slices + 1> m_counts{};
+    std::array<std::uint64_t, slices + 1> m_counts {};
 };
 
 /// The part of `total` that seat `position` of `seats` may spend: parts differ by at most one and sum to `total`.
--- a/include/tool/command.h
+++ b/include/tool/command.h
@@ -28,7 +28,7 @@
     // Words of the command, such as "rules", "submit".
     std::vector<std::string> words;
     std::vector<std::string> hosts;
-    milliseconds timeout{ 5000 };
+    milliseconds timeout {5000};
     bool json = false;
     tls_files tls;
     std::string operatorName;
--- a/src/claims/claim_store.cpp
+++ b/src/claims/claim_store.cpp
@@ -26,7 +26,7 @@
 claim_reply claim_store::handle(const claim_request &request)
 {
     if (request.memberIncarnation != m_options.incarnation || isClosed(request.epoch)) {
-        return { .verdict = claim_verdict::closed, .owner = {}, .answer = {} };
+        return {.verdict = claim_verdict::closed, .owner = {}, .answer = {}};
     }
     return m_records.with(shardOf(request.key), [&](records &all) -> claim_reply {
         switch (request.action) {
@@ -39,8 +39,8 @@
         case claim_action::read:
             break;
         }
-        const auto found = all.find({ .epoch = request.epoch, .key = request.key });
-        return found == all.end() ? claim_reply{} : describe(found->second);
+        const auto found = all.find({.epoch = request.epoch, .key = request.key});
+        return found == all.end() ? claim_reply {} : describe(found->second);
     });
 }
 
@@ -86,36 +86,36 @@
 
 claim_reply claim_store::acquire(records &all, const claim_request &request)
 {
-    const record_key key{ .epoch = request.epoch, .key = request.key };
+    const record_key key {.epoch = request.epoch, .key = request.key};
     auto found = all.find(key);
     if (found == all.end()) {
         if (m_bytes >= m_options.bytesMaximum) {
             // No room to remember: the claimant must look for its majority elsewhere.
-            return { .verdict = claim_verdict::closed, .owner = {}, .answer = {} };
+            return {.verdict = claim_verdict::closed, .owner = {}, .answer = {}};
         }
-        found = all.emplace(key, record{ .content = request.content, .owner = {}, .finished = false, .answer = {}, .released = {} }).first;
+        found = all.emplace(key, record {.content = request.content, .owner = {}, .finished = false, .answer = {}, .released = {}}).first;
         m_bytes += costOf(key, found->second);
     }
     auto &known = found->second;
     if (!known.owner && !known.finished) {
         if (std::ranges::find(known.released, request.owner) != known.released.end()) {
-            return { .verdict = claim_verdict::absent, .owner = {}, .answer = {} };
+            return {.verdict = claim_verdict::absent, .owner = {}, .answer = {}};
         }
         known.content = request.content;
         known.owner = request.owner;
     }
     if (known.content != request.content) {
-        return { .verdict = claim_verdict::mismatch, .owner = known.owner.value_or(claim_owner{}), .answer = {} };
+        return {.verdict = claim_verdict::mismatch, .owner = known.owner.value_or(claim_owner {}), .answer = {}};
     }
     if (!known.finished && known.owner == request.owner) {
-        return { .verdict = claim_verdict::granted, .owner = request.owner, .answer = {} };
+        return {.verdict = claim_verdict::granted, .owner = request.owner, .answer = {}};
     }
     return describe(known);
 }
 
 claim_reply claim_store::release(records &all, const claim_request &request)
 {
-    const record_key key{ .epoch = request.epoch, .key = request.key };
+    const record_key key {.epoch = request.epoch, .key = request.key};
     auto &known = all[key];
     const std::size_t before = known.released.empty() && !known.owner && !known.finished ? 0 : costOf(key, known);
     if (!known.finished && known.owner == request.owner) {
@@ -125,12 +125,12 @@
         known.released.push_back(request.owner);
     }
     m_bytes += costOf(key, known) - before;
-    return { .verdict = claim_verdict::absent, .owner = {}, .answer = {} };
+    return {.verdict = claim_verdict::absent, .owner = {}, .answer = {}};
 }
 
 claim_reply claim_store::finish(records &all, const claim_request &request)
 {
-    const record_key key{ .epoch = request.epoch, .key = request.key };
+    const record_key key {.epoch = request.epoch, .key = request.key};
     auto &known = all[key];
     const bool isNew = !known.owner && !known.finished && known.released.empty();
     const std::size_t before = isNew ? 0 : costOf(key, known);
@@ -146,10 +146,10 @@
 claim_reply claim_store::describe(const record &known)
 {
     if (known.finished) {
-        return { .verdict = claim_verdict::finished, .owner = known.owner.value_or(claim_owner{}), .answer = known.answer };
+        return {.verdict = claim_verdict::finished, .owner = known.owner.value_or(claim_owner {}), .answer = known.answer};
     }
     if (known.owner) {
-        return { .verdict = claim_verdict::held, .owner = *known.owner, .answer = {} };
+        return {.verdict = claim_verdict::held, .owner = *known.owner, .answer = {}};
     }
     return {};
 }
--- a/src/claims/claim_types.cpp
+++ b/src/claims/claim_types.cpp
@@ -29,7 +29,7 @@
     epoch_id epoch;
     const std::string_view digits = text.substr(dot + 1);
     const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), epoch.number);
-    if (digits.empty() || error != std::errc{} || end != digits.data() + digits.size()) {
+    if (digits.empty() || error != std::errc {} || end != digits.data() + digits.size()) {
         return std::nullopt;
     }
     const std::string_view name = text.substr(regionPrefix.size(), dot - regionPrefix.size());
--- a/src/claims/epoch_keeper.cpp
+++ b/src/claims/epoch_keeper.cpp
@@ -68,7 +68,7 @@
         if (!complete || same) {
             continue;
         }
-        return claim_epoch{
+        return claim_epoch {
             .region = region.name,
             .number = newest == nullptr ? 1 : newest->number + 1,
             .members = std::move(group),
@@ -98,7 +98,7 @@
             }
         }
         if (const auto *chosen = pick(candidates, former, seat)) {
-            group.push_back({ .host = chosen->host, .incarnation = chosen->incarnation, .address = chosen->rpcAddress });
+            group.push_back({.host = chosen->host, .incarnation = chosen->incarnation, .address = chosen->rpcAddress});
         }
     };
     // One seat stays outside, so that the region's own hosts alone are no more than a majority.
--- a/src/claims/epoch_table.cpp
+++ b/src/claims/epoch_table.cpp
@@ -7,8 +7,8 @@
 {
     std::map<region_name, std::map<std::uint64_t, claim_group>> groups;
     for (const auto &epoch : epochs) {
-        const epoch_id id{ .region = epoch.region, .host = {}, .number = epoch.number };
-        groups[epoch.region][epoch.number] = { .epoch = id, .members = epoch.members, .openedAt = epoch.openedAt };
+        const epoch_id id {.region = epoch.region, .host = {}, .number = epoch.number};
+        groups[epoch.region][epoch.number] = {.epoch = id, .members = epoch.members, .openedAt = epoch.openedAt};
     }
     const std::lock_guard guard(m_lock);
     m_groups = std::move(groups);
--- a/src/codec/peer_codec.cpp
+++ b/src/codec/peer_codec.cpp
@@ -18,7 +18,7 @@
 
 pool_load decodeLoad(const schema::service_load &value)
 {
-    return { .slots = value.slots(), .inFlight = value.in_flight(), .queued = value.queued() };
+    return {.slots = value.slots(), .inFlight = value.in_flight(), .queued = value.queued()};
 }
 
 template <typename Repeated> void encodeHeaders(const http_headers &headers, Repeated *out)
@@ -74,7 +74,7 @@
     message.upstreamsDigest = value.upstreams_digest();
     message.appliedIndex = value.applied_index();
     for (const auto &load : value.loads()) {
-        message.loads.push_back({ .service = service_name(load.service()), .load = decodeLoad(load) });
+        message.loads.push_back({.service = service_name(load.service()), .load = decodeLoad(load)});
     }
     return message;
 }
@@ -90,7 +90,7 @@
 
 stored_answer decodeAnswer(const schema::stored_answer &value)
 {
-    return { .status = value.status(), .headers = decodeHeaders(value.headers()), .body = value.body() };
+    return {.status = value.status(), .headers = decodeHeaders(value.headers()), .body = value.body()};
 }
 
 schema::claim_owner encodeOwner(const claim_owner &value)
@@ -104,7 +104,7 @@
 
 claim_owner decodeOwner(const schema::claim_owner &value)
 {
-    return { .host = host_name(value.host()), .incarnation = value.incarnation(), .number = value.number() };
+    return {.host = host_name(value.host()), .incarnation = value.incarnation(), .number = value.number()};
 }
 
 } // namespace
@@ -291,7 +291,7 @@
 {
     claim_request request;
     request.action = static_cast<claim_action>(value.action());
-    request.epoch = epoch_id::parse(value.epoch()).value_or(epoch_id{});
+    request.epoch = epoch_id::parse(value.epoch()).value_or(epoch_id {});
     request.key = value.key();
     request.content = digestFromBytes(value.digest());
     request.owner = decodeOwner(value.owner());
@@ -315,7 +315,7 @@
 
 claim_reply decode(const schema::claim_reply &value)
 {
-    claim_reply reply{ .verdict = static_cast<claim_verdict>(value.verdict()), .owner = decodeOwner(value.owner()), .answer = std::nullopt };
+    claim_reply reply {.verdict = static_cast<claim_verdict>(value.verdict()), .owner = decodeOwner(value.owner()), .answer = std::nullopt};
     if (value.has_answer()) {
         reply.answer = decodeAnswer(value.answer());
     }
@@ -333,7 +333,7 @@
 
 upstream_death decode(const schema::poison_notice &value)
 {
-    return { .request = digestFromBytes(value.digest()), .instance = instance_name(value.instance()), .incarnation = value.incarnation() };
+    return {.request = digestFromBytes(value.digest()), .instance = instance_name(value.instance()), .incarnation = value.incarnation()};
 }
 
 schema::status_reply encode(const host_status &value)
@@ -443,7 +443,7 @@
         loads.push_back({
             .service = service_name(each.service()),
             .region = region_name(each.region()),
-            .load = { .slots = each.slots(), .inFlight = each.in_flight(), .queued = each.queued() },
+            .load = {.slots = each.slots(), .inFlight = each.in_flight(), .queued = each.queued()},
         });
     }
     return loads;
--- a/src/codec/replica_codec.cpp
+++ b/src/codec/replica_codec.cpp
@@ -1,5 +1,7 @@
 #include "codec/replica_codec.h"
 
+#include "core/overloaded.h"
+
 namespace hornbeampick
 {
 
@@ -8,10 +10,6 @@
 
 constexpr std::uint32_t snapshotFormat = 1;
 
-template <typename... Handlers> struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
 // Encodes every value of `from` into the repeated field `to`.
 template <typename From, typename To> void encodeAll(const From &from, To *to)
 {
@@ -63,7 +61,7 @@
 
 epoch_member decode(const schema::epoch_member &value)
 {
-    return { .host = host_name(value.host()), .incarnation = value.incarnation(), .address = value.address() };
+    return {.host = host_name(value.host()), .incarnation = value.incarnation(), .address = value.address()};
 }
 
 schema::replica_id encode(const replica_id &value)
@@ -77,7 +75,7 @@
 
 replica_id decode(const schema::replica_id &value)
 {
-    return { .host = host_name(value.host()), .disk = value.disk(), .address = value.address() };
+    return {.host = host_name(value.host()), .disk = value.disk(), .address = value.address()};
 }
 
 schema::replica_config encode(const replica_config &value)
@@ -90,7 +88,7 @@
 
 replica_config decode(const schema::replica_config &value)
 {
-    return { .voters = decodeAll<replica_id>(value.voters()), .learners = decodeAll<replica_id>(value.learners()) };
+    return {.voters = decodeAll<replica_id>(value.voters()), .learners = decodeAll<replica_id>(value.learners())};
 }
 
 schema::rules_change encode(const rules_change &value)
@@ -140,7 +138,7 @@
     schema::log_entry message;
     message.set_index(value.index);
     message.set_term(value.term);
-    std::visit(overloaded{
+    std::visit(overloaded {
                    [&](const barrier_entry &) { message.set_kind(schema::entry_barrier); },
                    [&](const rules_change &body) {
                        message.set_kind(schema::entry_rules);
@@ -161,7 +159,7 @@
 
 log_entry decode(const schema::log_entry &value)
 {
-    log_entry entry{ .index = value.index(), .term = value.term(), .body = barrier_entry{} };
+    log_entry entry {.index = value.index(), .term = value.term(), .body = barrier_entry {}};
     switch (value.kind()) {
     case schema::entry_rules:
         entry.body = decode(value.rules());
@@ -217,7 +215,7 @@
 
 replica_snapshot decode(const schema::snapshot_record &value)
 {
-    return { .index = value.index(), .term = value.term(), .config = decode(value.config()), .state = decode(value.state()) };
+    return {.index = value.index(), .term = value.term(), .config = decode(value.config()), .state = decode(value.state())};
 }
 
 schema::replica_message encode(const replica_message &value)
@@ -240,10 +238,10 @@
 
 replica_message decode(const schema::replica_message &value)
 {
-    replica_message message{
+    replica_message message {
         .kind = static_cast<replica_message_kind>(value.kind()),
         .from = decode(value.from()),
-        .to = { .host = {}, .disk = value.to_disk(), .address = {} },
+        .to = {.host = {}, .disk = value.to_disk(), .address = {}},
         .term = value.term(),
         .lastIndex = value.last_index(),
         .lastTerm = value.last_term(),
@@ -271,7 +269,7 @@
 
 form_request decode(const schema::form_request &value)
 {
-    form_request request{ .sender = decode(value.sender()), .config = std::nullopt, .join = value.join() };
+    form_request request {.sender = decode(value.sender()), .config = std::nullopt, .join = value.join()};
     if (value.has_config()) {
         request.config = decode(value.config());
     }
@@ -289,7 +287,7 @@
 
 form_reply decode(const schema::form_reply &value)
 {
-    return { .formed = value.formed(), .self = decode(value.self()), .config = decode(value.config()) };
+    return {.formed = value.formed(), .self = decode(value.self()), .config = decode(value.config())};
 }
 
 schema::submit_reply encode(const submit_result &value)
--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -41,7 +41,7 @@
 
 std::string digest::hex() const
 {
-    std::array<char, 33> text{};
+    std::array<char, 33> text {};
     std::snprintf(text.data(), text.size(), "%016llx%016llx", static_cast<unsigned long long>(high), static_cast<unsigned long long>(low));
     return text.data();
 }
@@ -65,7 +65,7 @@
         XXH3_128bits_update(state.get(), part.data(), part.size());
     }
     const auto value = XXH3_128bits_digest(state.get());
-    return { .high = value.high64, .low = value.low64 };
+    return {.high = value.high64, .low = value.low64};
 }
 
 digest digestFromBytes(std::string_view bytes)
@@ -73,7 +73,7 @@
     if (bytes.size() != 2 * wordBytes) {
         return {};
     }
-    return { .high = readWord(bytes.substr(0, wordBytes)), .low = readWord(bytes.substr(wordBytes)) };
+    return {.high = readWord(bytes.substr(0, wordBytes)), .low = readWord(bytes.substr(wordBytes))};
 }
 
 std::uint64_t stableHash(std::string_view text, std::uint64_t seed)
--- a/src/daemon/announcement.cpp
+++ b/src/daemon/announcement.cpp
@@ -21,11 +21,11 @@
     upstream_state state;
 };
 
-constexpr std::array stateNames{
-    state_name{ "warming", upstream_state::warming },
-    state_name{ "active", upstream_state::active },
-    state_name{ "draining", upstream_state::draining },
-    state_name{ "gone", upstream_state::gone },
+constexpr std::array stateNames {
+    state_name {"warming", upstream_state::warming},
+    state_name {"active", upstream_state::active},
+    state_name {"draining", upstream_state::draining},
+    state_name {"gone", upstream_state::gone},
 };
 
 // Reads typed fields; remembers whether any was wrong.
--- a/src/daemon/claim_client.cpp
+++ b/src/daemon/claim_client.cpp
@@ -17,11 +17,11 @@
 namespace asio = boost::asio;
 
 // Longest wait for a member's grant.
-constexpr milliseconds acquireTimeout{ 500 };
+constexpr milliseconds acquireTimeout {500};
 // Releases and answers are worth a longer try.
-constexpr milliseconds settleTimeout{ 3000 };
+constexpr milliseconds settleTimeout {3000};
 // An answer to the caller waits no longer than this for its record.
-constexpr milliseconds finishWait{ 50 };
+constexpr milliseconds finishWait {50};
 // A new epoch also claims from the former group for this long.
 constexpr wall_ms overlap = 120'000;
 
@@ -46,7 +46,7 @@
             } else {
                 m_round.onFailure(member);
             }
-            decided = { .outcome = m_round.outcome(), .holder = m_round.holder(), .answer = m_round.answer() };
+            decided = {.outcome = m_round.outcome(), .holder = m_round.holder(), .answer = m_round.answer()};
             if (decided.outcome == claim_outcome::pending || !m_done) {
                 return;
             }
@@ -126,7 +126,7 @@
     const auto group = groupOf(ticket.epoch);
     if (!group) {
         const bool closed = ticket.epoch.host || m_epochs.isClosed(ticket.epoch);
-        co_return claim_result{ .outcome = closed ? claim_outcome::closed : claim_outcome::unavailable, .holder = {}, .answer = {} };
+        co_return claim_result {.outcome = closed ? claim_outcome::closed : claim_outcome::unavailable, .holder = {}, .answer = {}};
     }
     const auto left = std::chrono::duration_cast<milliseconds>(deadline - m_clock.now());
     const auto timeout = std::clamp(left, milliseconds(1), acquireTimeout);
@@ -196,8 +196,8 @@
     if (!host || host->incarnation != epoch.number) {
         return std::nullopt;
     }
-    claim_group own{ .epoch = epoch, .members = {}, .openedAt = 0 };
-    own.members.push_back({ .host = host->host, .incarnation = host->incarnation, .address = host->rpcAddress });
+    claim_group own {.epoch = epoch, .members = {}, .openedAt = 0};
+    own.members.push_back({.host = host->host, .incarnation = host->incarnation, .address = host->rpcAddress});
     return own;
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -32,22 +32,28 @@
 
 constexpr auto noThrow = asio::as_tuple(asio::use_awaitable);
 // Waiting requests are expired and slots of warming upstreams given out this often.
-constexpr milliseconds gateTick{ 20 };
-constexpr milliseconds tableTick{ 100 };
-constexpr milliseconds keeperTick{ 500 };
+constexpr milliseconds gateTick {20};
+constexpr milliseconds tableTick {100};
+constexpr milliseconds keeperTick {500};
 // Longest wait of a planned stop for what is in flight.
-constexpr milliseconds drainMaximum{ 30000 };
-constexpr milliseconds drainTick{ 20 };
-constexpr milliseconds rpcGrace{ 500 };
+constexpr milliseconds drainMaximum {30000};
+constexpr milliseconds drainTick {20};
+constexpr milliseconds rpcGrace {500};
 
 std::string addressOf(const std::string &ip, int port)
 {
     return ip + ":" + std::to_string(port);
 }
 
+// Where others reach an endpoint that listens on `port`.
+std::string reachedAt(const schema::endpoint_settings &endpoint, int port)
+{
+    return endpoint.advertised().empty() ? addressOf(endpoint.address(), port) : endpoint.advertised();
+}
+
 std::string_view textOf(replica_role role)
 {
-    constexpr std::array names{ "follower", "pre-candidate", "candidate", "leader", "learner", "stopped", "absent" };
+    constexpr std::array names {"follower", "pre-candidate", "candidate", "leader", "learner", "stopped", "absent"};
     return names.at(static_cast<std::size_t>(role));
 }
 
@@ -82,20 +88,20 @@
         , m_traces(m_settings->host(), m_settings->log().trace_file(), m_clock, m_random)
         , m_peers(makeGrpcPeerClient(tlsOf(*m_settings), &m_traffic))
         , m_upstreams(makeUpstreamClient({}))
-        , m_members(selfOf(*m_settings, m_incarnation), { .deadAfter = milliseconds(m_settings->timing().dead_ms()) })
-        , m_claims({ .incarnation = m_incarnation })
+        , m_members(selfOf(*m_settings, m_incarnation), {.deadAfter = milliseconds(m_settings->timing().dead_ms())})
+        , m_claims({.incarnation = m_incarnation})
         , m_caps(m_fleet, m_self)
         , m_rules(m_epochs, m_claims, m_caps, m_clock)
         , m_gate(poolOptions(*m_settings), m_clock, m_random)
-        , m_poison({ .quarantine = milliseconds(m_settings->timing().quarantine_ms()) })
+        , m_poison({.quarantine = milliseconds(m_settings->timing().quarantine_ms())})
         , m_loads(loadLifetime(*m_settings))
-        , m_epochKeeper(m_fleet, { .epochLength = milliseconds(m_settings->timing().epoch_ms()) })
+        , m_epochKeeper(m_fleet, {.epochLength = milliseconds(m_settings->timing().epoch_ms())})
         , m_agent(agentParts(), agentOptions(*m_settings))
         , m_link(*m_peers, m_agent)
-        , m_runner({ m_gate, m_caps, m_poison, *m_upstreams, m_agent, m_counters, m_traces, m_clock })
+        , m_runner({m_gate, m_caps, m_poison, *m_upstreams, m_agent, m_counters, m_traces, m_clock})
         , m_claimClient(m_epochs, m_members, m_claims, *m_peers, m_clock)
         , m_carrier(carrierParts())
-        , m_front({ m_carrier, m_agent, m_rules, m_epochs, m_table, m_members, m_counters, m_traces, *this, m_clock }, frontOptions(*m_settings))
+        , m_front({m_carrier, m_agent, m_rules, m_epochs, m_table, m_members, m_counters, m_traces, *this, m_clock}, frontOptions(*m_settings))
     {
         rebuildTable();
     }
@@ -115,7 +121,7 @@
             }
         }
         m_submitter
-            = std::make_unique<rule_submitter>(rule_submitter_parts{ m_replica.get(), *m_peers, m_fleet, m_clock }, m_services, voterAddresses(*m_settings));
+            = std::make_unique<rule_submitter>(rule_submitter_parts {m_replica.get(), *m_peers, m_fleet, m_clock}, m_services, voterAddresses(*m_settings));
         m_endpoint = std::make_unique<peer_endpoint>(endpointParts());
         auto server = makeGrpcPeerServer(addressOf(rpc.address(), static_cast<int>(rpc.port())), tlsOf(*m_settings), *m_endpoint, &m_traffic);
         if (!server) {
@@ -141,7 +147,8 @@
         if (m_replica) {
             m_replica->start();
         }
-        logEvent(log_level::info, "started", { { "http", httpAddress() }, { "rpc", rpcAddress() }, { "disk", m_replica != nullptr } });
+        logEvent(log_level::info, "started",
+                 {{"http", httpAddress()}, {"rpc", rpcAddress()}, {"rpcPort", static_cast<std::int64_t>(m_server->port())}, {"disk", m_replica != nullptr}});
         std::vector<std::thread> threads;
         for (unsigned i = 0; i < m_settings->limits().threads(); ++i) {
             threads.emplace_back([this] { m_context.run(); });
@@ -162,16 +169,16 @@
 
     [[nodiscard]] std::string httpAddress() const override
     {
-        return addressOf(m_settings->http().address(), m_http->port());
+        return reachedAt(m_settings->http(), m_http->port());
     }
     [[nodiscard]] std::string rpcAddress() const override
     {
-        return addressOf(m_settings->rpc().address(), m_server->port());
+        return reachedAt(m_settings->rpc(), m_server->port());
     }
 
     [[nodiscard]] host_status hostStatus() const override
     {
-        const auto view = m_replica ? m_replica->view() : replica_view{};
+        const auto view = m_replica ? m_replica->view() : replica_view {};
         return {
             .self = m_members.self(),
             .ruleVersion = m_rules.state()->version,
@@ -197,19 +204,19 @@
 private:
     fleet_agent_parts agentParts()
     {
-        return { m_members, m_loads, m_gate, m_rules, m_epochs, m_caps, m_poison, *m_peers, m_counters, m_clock, m_random, m_fleet, m_self };
+        return {m_members, m_loads, m_gate, m_rules, m_epochs, m_caps, m_poison, *m_peers, m_counters, m_clock, m_random, m_fleet, m_self};
     }
 
     request_carrier_parts carrierParts()
     {
-        return { m_runner, m_claimClient, m_loads,    m_budget, m_caps,  m_poison, m_members, m_table,
-                 m_gate,   *m_peers,      m_counters, m_traces, m_clock, m_random, m_self };
+        return {m_runner, m_claimClient, m_loads,    m_budget, m_caps,  m_poison, m_members, m_table,
+                m_gate,   *m_peers,      m_counters, m_traces, m_clock, m_random, m_self};
     }
 
     peer_endpoint_parts endpointParts()
     {
-        return { m_agent, m_rules,      m_claims,        m_poison, m_runner, m_gate,  m_loads,   m_members, m_caps, m_table,
-                 m_front, *m_submitter, m_replica.get(), *m_peers, *this,    m_clock, m_context, m_fleet,   m_self, m_services };
+        return {m_agent, m_rules,      m_claims,        m_poison, m_runner, m_gate,  m_loads,   m_members, m_caps, m_table,
+                m_front, *m_submitter, m_replica.get(), *m_peers, *this,    m_clock, m_context, m_fleet,   m_self, m_services};
     }
 
     status openReplica()
@@ -220,7 +227,7 @@
         }
         m_files = std::move(files.value());
         m_store = makeReplicaFileStore(*m_files);
-        const auto address = addressOf(m_settings->rpc().address(), static_cast<int>(m_settings->rpc().port()));
+        const auto address = reachedAt(m_settings->rpc(), static_cast<int>(m_settings->rpc().port()));
         m_replica = std::make_unique<replica_node>(replicaOptions(*m_settings, address), *m_store, m_link, m_link, m_clock, m_random);
         return success();
     }
@@ -254,7 +261,7 @@
             loads.push_back(m_loads.regions(service, now));
         }
         const auto members = m_members.members();
-        m_table.set(std::make_shared<const steering_table>(steering_inputs{
+        m_table.set(std::make_shared<const steering_table>(steering_inputs {
             .rules = m_rules.rules(),
             .regions = m_fleet.regions(),
             .services = m_services,
@@ -286,7 +293,7 @@
         const auto state = m_rules.state();
         auto epoch = m_epochKeeper.next(state->epochs, m_members.members(), m_clock.wallNow());
         if (epoch) {
-            logEvent(log_level::info, "epoch-opened", { { "region", epoch->region.string() }, { "number", static_cast<std::int64_t>(epoch->number) } });
+            logEvent(log_level::info, "epoch-opened", {{"region", epoch->region.string()}, {"number", static_cast<std::int64_t>(epoch->number)}});
             m_replica->submit(std::move(*epoch), [](const submit_result &) {});
         }
     }
@@ -305,7 +312,8 @@
         logEvent(log_level::info, "leaving");
         m_members.leave(startedAt);
         asio::steady_timer timer(co_await asio::this_coro::executor);
-        timer.expires_after(milliseconds(m_settings->timing().lookup_ttl_ms() + m_settings->timing().exchange_ms()));
+        // The word spreads within the time of a suspicion; only then does the last look-up begin to age.
+        timer.expires_after(milliseconds(m_settings->timing().lookup_ttl_ms() + m_settings->timing().suspect_ms()));
         co_await timer.async_wait(noThrow);
         m_http->drain();
         while (m_http->activeRequests() > 0 && m_clock.now() < startedAt + drainMaximum) {
@@ -314,7 +322,7 @@
         }
         const auto taken = std::chrono::duration_cast<milliseconds>(m_clock.now() - startedAt);
         m_counters.observeDrain("host", taken);
-        logEvent(log_level::info, "drained", { { "milliseconds", static_cast<std::int64_t>(taken.count()) } });
+        logEvent(log_level::info, "drained", {{"milliseconds", static_cast<std::int64_t>(taken.count())}});
         m_agent.stop();
         if (m_replica) {
             m_replica->stop();
@@ -368,7 +376,7 @@
     front_end m_front;
     std::unique_ptr<rule_submitter> m_submitter;
     std::unique_ptr<peer_endpoint> m_endpoint;
-    std::atomic<bool> m_leaving{ false };
+    std::atomic<bool> m_leaving {false};
     // Its coroutines refer to what stands above; the servers hand it work.
     asio::io_context m_context;
     std::unique_ptr<peer_server> m_server;
--- a/src/daemon/daemon_options.cpp
+++ b/src/daemon/daemon_options.cpp
@@ -14,20 +14,20 @@
 
 location locationOf(const schema::daemon_settings &settings)
 {
-    return { .host = host_name(settings.host()), .region = region_name(settings.region()), .domain = domain_name(settings.failure_domain()) };
+    return {.host = host_name(settings.host()), .region = region_name(settings.region()), .domain = domain_name(settings.failure_domain())};
 }
 
 tls_files tlsOf(const schema::daemon_settings &settings)
 {
     const auto &tls = settings.tls();
-    return { .certificate = tls.certificate(), .key = tls.key(), .authority = tls.authority(), .plainText = tls.plain_text() };
+    return {.certificate = tls.certificate(), .key = tls.key(), .authority = tls.authority(), .plainText = tls.plain_text()};
 }
 
 std::vector<bootstrap_voter> votersOf(const schema::daemon_settings &settings)
 {
     std::vector<bootstrap_voter> voters;
     for (const auto &voter : settings.voters()) {
-        voters.push_back({ .host = host_name(voter.host()), .address = voter.address() });
+        voters.push_back({.host = host_name(voter.host()), .address = voter.address()});
     }
     return voters;
 }
@@ -45,7 +45,7 @@
 {
     front_end_options options;
     for (const auto &service : settings.services()) {
-        options.services[service.name()] = { .idempotent = service.idempotent(), .timeout = milliseconds(service.timeout_ms()) };
+        options.services[service.name()] = {.idempotent = service.idempotent(), .timeout = milliseconds(service.timeout_ms())};
     }
     options.lookupTtl = milliseconds(settings.timing().lookup_ttl_ms());
     options.announceTtl = milliseconds(settings.timing().announce_ttl_ms());
--- a/src/daemon/fleet_agent.cpp
+++ b/src/daemon/fleet_agent.cpp
@@ -19,10 +19,10 @@
 
 namespace asio = boost::asio;
 
-constexpr milliseconds fetchTimeout{ 5000 };
-constexpr milliseconds poisonTimeout{ 300 };
+constexpr milliseconds fetchTimeout {5000};
+constexpr milliseconds poisonTimeout {300};
 // Changes of upstreams are passed on for this long; digests repair what is missed.
-constexpr milliseconds upstreamFreshFor{ 5000 };
+constexpr milliseconds upstreamFreshFor {5000};
 // Largest fleet whose whole table is sent at the first difference of digests.
 constexpr std::size_t wholeTableMembers = 64;
 // Most peers told of a poisoned request by one host.
@@ -101,7 +101,7 @@
         const auto known = std::ranges::find(before, report.instance, &upstream_report::instance);
         if (known == before.end() || differsForOthers(*known, report)) {
             const std::lock_guard guard(m_freshLock);
-            m_fresh[report.instance] = { .report = report, .changedAt = m_parts.clock.now() };
+            m_fresh[report.instance] = {.report = report, .changedAt = m_parts.clock.now()};
         }
         m_parts.gate.announce(report, true);
         if (known == before.end()) {
@@ -134,7 +134,7 @@
     if (told.empty()) {
         co_return;
     }
-    auto start = [this, told, death](std::function<void(bool)> done) {
+    auto start = [this, &told, &death](const std::function<void(bool)> &done) {
         auto left = std::make_shared<std::atomic<std::size_t>>(told.size());
         for (const auto &member : told) {
             m_parts.peers.reportPoison(member.rpcAddress, death, poisonTimeout, [left, done](const result<bool> &) {
@@ -271,7 +271,7 @@
 void fleet_agent::notifyChildren(const host_name &root)
 {
     const auto self = m_parts.members.self();
-    const rules_notice notice{ .appliedIndex = m_parts.rules.state()->appliedIndex, .root = root, .tellerAddress = self.rpcAddress };
+    const rules_notice notice {.appliedIndex = m_parts.rules.state()->appliedIndex, .root = root, .tellerAddress = self.rpcAddress};
     for (const auto &child : spreadChildren(m_parts.members.members(), self.host, root, m_options.spreadFanout)) {
         m_parts.peers.notifyRules(child.rpcAddress, notice);
     }
@@ -290,7 +290,7 @@
             && (rules->isDrained(drain_target::upstream, report.instance.view(), wallNow)
                 || rules->isDrained(drain_target::failureDomain, report.domain.view(), wallNow)
                 || rules->isDrained(drain_target::region, m_parts.self.region.view(), wallNow));
-        return { .owned = owner == m_parts.self.host, .immediate = !shared && report.domain == m_parts.self.domain, .drained = drained };
+        return {.owned = owner == m_parts.self.host, .immediate = !shared && report.domain == m_parts.self.domain, .drained = drained};
     });
 }
 
@@ -300,7 +300,8 @@
     const auto found = std::ranges::find(hosts, m_parts.self.host, &fleet_member::host);
     if (found != hosts.end()) {
         const auto position = static_cast<std::size_t>(found - hosts.begin());
-        m_parts.caps.setSeat({ .position = position, .seats = hosts.size() }, m_parts.clock.now() + m_options.settle);
+        const auto now = m_parts.clock.now();
+        m_parts.caps.setSeat({.position = position, .seats = hosts.size()}, now, now + m_options.settle + window_limiter::window);
     }
 }
 
--- a/src/daemon/front_end.cpp
+++ b/src/daemon/front_end.cpp
@@ -30,23 +30,24 @@
     std::uint32_t status;
 };
 
-constexpr std::array errorStatuses{
-    error_status{ errc::malformedRequest, 400 },
-    error_status{ errc::missingKey, 400 },
-    error_status{ errc::missingEpoch, 400 },
-    error_status{ errc::malformedEpoch, 400 },
-    error_status{ errc::malformedAnnouncement, 400 },
-    error_status{ errc::unknownService, 404 },
-    error_status{ errc::unknownPath, 404 },
-    error_status{ errc::bodyTooLarge, 413 },
-    error_status{ errc::headerTooLarge, 431 },
-    error_status{ errc::keyReused, 422 },
-    error_status{ errc::claimHeld, 409 },
-    error_status{ errc::epochClosed, 409 },
-    error_status{ errc::answerNotKept, 409 },
-    error_status{ errc::upstreamFailed, 502 },
-    error_status{ errc::peerUnreachable, 502 },
-    error_status{ errc::deadlineExceeded, 504 },
+constexpr std::array errorStatuses {
+    error_status {errc::malformedRequest, 400},
+    error_status {errc::missingKey, 400},
+    error_status {errc::missingEpoch, 400},
+    error_status {errc::malformedEpoch, 400},
+    error_status {errc::malformedAnnouncement, 400},
+    error_status {errc::unknownService, 404},
+    error_status {errc::unknownPath, 404},
+    error_status {errc::bodyTooLarge, 413},
+    error_status {errc::headerTooLarge, 431},
+    error_status {errc::requestTooSlow, 408},
+    error_status {errc::keyReused, 422},
+    error_status {errc::claimHeld, 409},
+    error_status {errc::epochClosed, 409},
+    error_status {errc::answerNotKept, 409},
+    error_status {errc::upstreamFailed, 502},
+    error_status {errc::peerUnreachable, 502},
+    error_status {errc::deadlineExceeded, 504},
 };
 constexpr std::uint32_t unavailableStatus = 503;
 
@@ -66,9 +67,9 @@
 {
     const auto mark = target.find('?');
     if (mark == std::string_view::npos) {
-        return { .path = target, .query = {} };
+        return {.path = target, .query = {}};
     }
-    return { .path = target.substr(0, mark), .query = target.substr(mark + 1) };
+    return {.path = target.substr(0, mark), .query = target.substr(mark + 1)};
 }
 
 // Value of a query parameter as it stands; empty when absent.
@@ -90,7 +91,7 @@
 {
     std::int64_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || end != text.data() + text.size() || value < 1 || value > timeoutMaximumMs) {
+    if (error != std::errc {} || end != text.data() + text.size() || value < 1 || value > timeoutMaximumMs) {
         return std::nullopt;
     }
     return milliseconds(value);
@@ -98,7 +99,7 @@
 
 bool isSystemHeader(std::string_view name)
 {
-    constexpr std::array names{ "hornbeampick-epoch", "hornbeampick-timeout-ms", "traceparent" };
+    constexpr std::array names {"hornbeampick-epoch", "hornbeampick-timeout-ms", "traceparent"};
     std::string lowered(name);
     std::ranges::transform(lowered, lowered.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
     return std::ranges::find(names, lowered) != names.end();
@@ -106,7 +107,7 @@
 
 http_response jsonResponse(std::uint32_t status, const json::value &body)
 {
-    return { .status = status, .headers = {}, .body = json::serialize(body) + "\n", .contentType = "application/json" };
+    return {.status = status, .headers = {}, .body = json::serialize(body) + "\n", .contentType = "application/json"};
 }
 
 } // namespace
@@ -136,10 +137,10 @@
         co_return status();
     }
     if (path == "/metrics") {
-        co_return http_response{ .status = 200, .headers = {}, .body = m_parts.status.metricsText(), .contentType = "text/plain; version=0.0.4" };
+        co_return http_response {.status = 200, .headers = {}, .body = m_parts.status.metricsText(), .contentType = "text/plain; version=0.0.4"};
     }
     if (path == "/healthz") {
-        co_return http_response{ .status = 200, .headers = {}, .body = "ok\n", .contentType = "text/plain" };
+        co_return http_response {.status = 200, .headers = {}, .body = "ok\n", .contentType = "text/plain"};
     }
     co_return refuse(errc::unknownPath);
 }
@@ -167,7 +168,7 @@
         return group->epoch;
     }
     const auto self = m_parts.members.self();
-    return { .region = std::nullopt, .host = self.host, .number = self.incarnation };
+    return {.region = std::nullopt, .host = self.host, .number = self.incarnation};
 }
 
 http_response front_end::lookUp(const http_request &request) const
@@ -188,19 +189,19 @@
     json::array entries;
     for (std::uint8_t i = 0; i < choice.entryCount; ++i) {
         const auto &entry = table->entry(choice.entries[i]);
-        entries.push_back(json::object{
-            { "host", entry.host.view() },
-            { "address", entry.httpAddress },
-            { "region", entry.region.view() },
-            { "failureDomain", entry.domain.view() },
+        entries.push_back(json::object {
+            {"host", entry.host.view()},
+            {"address", entry.httpAddress},
+            {"region", entry.region.view()},
+            {"failureDomain", entry.domain.view()},
         });
     }
     return jsonResponse(200,
-                        json::object{
-                            { "ruleVersion", table->ruleVersion() },
-                            { "ttlMs", m_options.lookupTtl.count() },
-                            { "operationEpoch", epochFor(table->region(choice.home)).text() },
-                            { "entries", std::move(entries) },
+                        json::object {
+                            {"ruleVersion", table->ruleVersion()},
+                            {"ttlMs", m_options.lookupTtl.count()},
+                            {"operationEpoch", epochFor(table->region(choice.home)).text()},
+                            {"entries", std::move(entries)},
                         });
 }
 
@@ -219,37 +220,37 @@
     }
     m_parts.agent.onAnnounce(*report, true);
     constexpr int renewalsATtl = 4;
-    return jsonResponse(200, json::object{ { "ttlMs", m_options.announceTtl.count() }, { "renewMs", m_options.announceTtl.count() / renewalsATtl } });
+    return jsonResponse(200, json::object {{"ttlMs", m_options.announceTtl.count()}, {"renewMs", m_options.announceTtl.count() / renewalsATtl}});
 }
 
 http_response front_end::status() const
 {
     const auto own = m_parts.status.hostStatus();
     json::array members;
-    constexpr std::array states{ "alive", "suspect", "leaving", "dead" };
+    constexpr std::array states {"alive", "suspect", "leaving", "dead"};
     for (const auto &member : m_parts.members.members()) {
-        members.push_back(json::object{
-            { "host", member.host.view() },
-            { "region", member.region.view() },
-            { "failureDomain", member.domain.view() },
-            { "state", states.at(static_cast<std::size_t>(member.state)) },
-            { "httpAddress", member.httpAddress },
-            { "rpcAddress", member.rpcAddress },
+        members.push_back(json::object {
+            {"host", member.host.view()},
+            {"region", member.region.view()},
+            {"failureDomain", member.domain.view()},
+            {"state", states.at(static_cast<std::size_t>(member.state))},
+            {"httpAddress", member.httpAddress},
+            {"rpcAddress", member.rpcAddress},
         });
     }
     return jsonResponse(200,
-                        json::object{
-                            { "host", own.self.host.view() },
-                            { "region", own.self.region.view() },
-                            { "failureDomain", own.self.domain.view() },
-                            { "ruleVersion", own.ruleVersion },
-                            { "inForceSinceMs", own.inForceSince },
-                            { "rulesKnown", own.rulesKnown },
-                            { "replicaRole", own.replicaRole },
-                            { "term", own.term },
-                            { "leader", own.leader },
-                            { "cutOff", own.cutOff },
-                            { "members", std::move(members) },
+                        json::object {
+                            {"host", own.self.host.view()},
+                            {"region", own.self.region.view()},
+                            {"failureDomain", own.self.domain.view()},
+                            {"ruleVersion", own.ruleVersion},
+                            {"inForceSinceMs", own.inForceSince},
+                            {"rulesKnown", own.rulesKnown},
+                            {"replicaRole", own.replicaRole},
+                            {"term", own.term},
+                            {"leader", own.leader},
+                            {"cutOff", own.cutOff},
+                            {"members", std::move(members)},
                         });
 }
 
@@ -320,10 +321,10 @@
     } else {
         const std::string message = make_error_code(answer.error).message();
         response = jsonResponse(statusOf(answer.error),
-                                json::object{
-                                    { "code", errorCode(answer.error) },
-                                    { "message", message },
-                                    { "retryAfterMs", answer.retryAfter.count() },
+                                json::object {
+                                    {"code", errorCode(answer.error)},
+                                    {"message", message},
+                                    {"retryAfterMs", answer.retryAfter.count()},
                                 });
         if (response.status == unavailableStatus) {
             const auto wait = std::chrono::ceil<seconds>(std::max(answer.retryAfter, milliseconds(1)));
--- a/src/daemon/peer_endpoint.cpp
+++ b/src/daemon/peer_endpoint.cpp
@@ -18,7 +18,7 @@
 
 namespace asio = boost::asio;
 
-constexpr milliseconds statusTimeout{ 1000 };
+constexpr milliseconds statusTimeout {1000};
 
 // Gathers the answers of all hosts; tells once when the last is in.
 class status_collector
@@ -214,12 +214,12 @@
         const auto own = m_parts.gate.load(service);
         auto mine = std::ranges::find(regions, m_parts.self.region, &region_load::region);
         if (mine == regions.end()) {
-            mine = regions.insert(regions.end(), { .region = m_parts.self.region, .slots = 0, .inFlight = 0 });
+            mine = regions.insert(regions.end(), {.region = m_parts.self.region, .slots = 0, .inFlight = 0});
         }
         mine->slots += own.slots;
         mine->inFlight += own.inFlight;
         for (const auto &region : regions) {
-            loads.push_back({ .service = service, .region = region.region, .load = { .slots = region.slots, .inFlight = region.inFlight, .queued = 0 } });
+            loads.push_back({.service = service, .region = region.region, .load = {.slots = region.slots, .inFlight = region.inFlight, .queued = 0}});
         }
     }
     return loads;
@@ -241,7 +241,7 @@
 void peer_endpoint::onForm(form_request request, std::function<void(const form_reply &)> done)
 {
     if (m_parts.replica == nullptr) {
-        done({ .formed = false, .self = {}, .config = {} });
+        done({.formed = false, .self = {}, .config = {}});
         return;
     }
     m_parts.replica->receiveForm(std::move(request), std::move(done));
--- a/src/daemon/replica_link.cpp
+++ b/src/daemon/replica_link.cpp
@@ -28,7 +28,7 @@
 
 void replica_link::onStopped(std::error_code why)
 {
-    logEvent(log_level::error, "replica-stopped", { errorField(why) });
+    logEvent(log_level::error, "replica-stopped", {errorField(why)});
 }
 
 void replica_link::setLeads(bool leads)
--- a/src/daemon/replica_link.h
+++ b/src/daemon/replica_link.h
@@ -26,7 +26,7 @@
 private:
     peer_client &m_peers;
     fleet_agent &m_agent;
-    std::atomic<bool> m_leads{ false };
+    std::atomic<bool> m_leads {false};
 };
 
 } // namespace hornbeampick
--- a/src/daemon/request_carrier.cpp
+++ b/src/daemon/request_carrier.cpp
@@ -1,6 +1,7 @@
 #include "daemon/request_carrier.h"
 
 #include "daemon/await_callback.h"
+#include "steering/host_choice.h"
 
 #include <algorithm>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -18,8 +19,8 @@
 constexpr int retriesMaximum = 2;
 constexpr std::size_t hostsTried = 3;
 // Wait between two claims of a key that another attempt holds, doubled up to the longest.
-constexpr milliseconds claimPause{ 10 };
-constexpr milliseconds longestClaimPause{ 160 };
+constexpr milliseconds claimPause {10};
+constexpr milliseconds longestClaimPause {160};
 
 carried_answer answerOf(const stored_answer &stored)
 {
@@ -124,25 +125,25 @@
     const std::string_view code = answer.isUpstreams() ? "answered" : errorCode(answer.error);
     m_parts.counters.countAnswer(request.carried.service, code);
     m_parts.counters.observeHop(request.carried.service, "entry", std::chrono::duration_cast<microseconds>(m_parts.clock.now() - startedAt));
-    m_parts.traces.end(span, { { "service", request.carried.service.view() }, { "code", code }, { "outcome", textOf(answer.outcome) } });
+    m_parts.traces.end(span, {{"service", request.carried.service.view()}, {"code", code}, {"outcome", textOf(answer.outcome)}});
     co_return answer;
 }
 
 asio::awaitable<carried_answer> request_carrier::carryClaimed(caller_request &request)
 {
     const auto self = m_parts.members.self();
-    const claim_ticket ticket{
+    const claim_ticket ticket {
         .epoch = *request.epoch,
         .key = request.carried.service.string() + "/" + request.key,
         .content = request.carried.content(),
-        .owner = { .host = self.host, .incarnation = self.incarnation, .number = m_parts.gate.nextNumber() },
+        .owner = {.host = self.host, .incarnation = self.incarnation, .number = m_parts.gate.nextNumber()},
     };
     const auto startedAt = m_parts.clock.now();
     const auto span = m_parts.traces.begin("claim", trace_context::parse(request.carried.traceParent));
     const auto claimed = co_await claim(ticket, request.carried.deadline);
     m_parts.counters.countClaim(textOf(claimed.outcome));
     m_parts.counters.observeHop(request.carried.service, "claim", std::chrono::duration_cast<microseconds>(m_parts.clock.now() - startedAt));
-    m_parts.traces.end(span, { { "outcome", textOf(claimed.outcome) } });
+    m_parts.traces.end(span, {{"outcome", textOf(claimed.outcome)}});
     if (claimed.outcome != claim_outcome::granted) {
         co_return refusalOf(claimed);
     }
@@ -150,7 +151,7 @@
     if (answer.outcome == run_outcome::notRun) {
         m_parts.claims.release(ticket);
     } else if (answer.isUpstreams()) {
-        const stored_answer stored{ .status = answer.status, .headers = answer.headers, .body = answer.body };
+        const stored_answer stored {.status = answer.status, .headers = answer.headers, .body = answer.body};
         co_await m_parts.claims.finish(ticket, stored);
     }
     // An unknown outcome keeps the claim: the key is never run again.
@@ -250,13 +251,13 @@
 {
     const auto startedAt = m_parts.clock.now();
     if (owner.region != m_parts.self.region) {
-        const cap_key link{ .kind = cap_kind::link, .service = {}, .other = owner.region };
+        const cap_key link {.kind = cap_kind::link, .service = {}, .other = owner.region};
         if (!m_parts.caps.take(link, request.bytes(), startedAt)) {
             co_return makeRefusal(errc::capReached, run_outcome::notRun, window_limiter::window);
         }
     }
     const auto span = m_parts.traces.begin("forward", trace_context::parse(request.traceParent));
-    forward_message message{ .request = request, .senderHost = m_parts.self.host, .senderRegion = m_parts.self.region, .timeout = {} };
+    forward_message message {.request = request, .senderHost = m_parts.self.host, .senderRegion = m_parts.self.region, .timeout = {}};
     message.timeout = std::max(std::chrono::duration_cast<milliseconds>(request.deadline - startedAt), milliseconds(1));
     message.request.traceParent = span.context.header();
     m_parts.loads.onForwarded(request.service, owner.host);
@@ -266,7 +267,7 @@
     const auto now = m_parts.clock.now();
     m_parts.loads.onReturned(request.service, owner.host, reply ? &reply.value().load : nullptr, now);
     m_parts.counters.observeHop(request.service, "forward", std::chrono::duration_cast<microseconds>(now - startedAt));
-    m_parts.traces.end(span, { { "service", request.service.view() }, { "host", owner.host.view() } });
+    m_parts.traces.end(span, {{"service", request.service.view()}, {"host", owner.host.view()}});
     if (reply) {
         co_return reply.value().answer;
     }
@@ -279,7 +280,7 @@
 
 std::vector<region_name> request_carrier::regionOrder(const steering_table &table, const steering_choice &choice) const
 {
-    std::vector<region_name> order{ table.region(choice.destination) };
+    std::vector<region_name> order {table.region(choice.destination)};
     const auto add = [&](const region_name &region) {
         if (std::ranges::find(order, region) == order.end()) {
             order.push_back(region);
@@ -299,26 +300,12 @@
     return order;
 }
 
-// Hosts to try, best first. This host goes first while it has a slot free: it saves a hop.
 std::vector<host_name> request_carrier::hostsOf(const carried_request &request, const region_name &region)
 {
     const auto now = m_parts.clock.now();
-    std::vector<host_name> hosts;
     const auto candidates = m_parts.loads.candidates(request.service, region, now, m_parts.random.next());
-    const pool_load own = region == m_parts.self.region ? m_parts.gate.load(request.service) : pool_load{};
-    const bool ownFirst = own.slots > 0 && (own.free() > 0 || candidates.empty() || candidates.front().free <= own.free());
-    if (ownFirst) {
-        hosts.push_back(m_parts.self.host);
-    }
-    for (const auto &candidate : candidates) {
-        if (hosts.size() < hostsTried) {
-            hosts.push_back(candidate.host);
-        }
-    }
-    if (!ownFirst && own.slots > 0 && hosts.size() < hostsTried) {
-        hosts.push_back(m_parts.self.host);
-    }
-    return hosts;
+    const pool_load own = region == m_parts.self.region ? m_parts.gate.load(request.service) : pool_load {};
+    return orderHosts(m_parts.self.host, own, candidates, hostsTried);
 }
 
 } // namespace hornbeampick
--- a/src/daemon/request_runner.cpp
+++ b/src/daemon/request_runner.cpp
@@ -128,14 +128,14 @@
     if (!suspect.allowed()) {
         co_return makeRefusal(errc::quarantined, run_outcome::notRun);
     }
-    const cap_key capacity{ .kind = cap_kind::regionCapacity, .service = request.service, .other = {} };
+    const cap_key capacity {.kind = cap_kind::regionCapacity, .service = request.service, .other = {}};
     const auto capacityReceipt = m_parts.caps.take(capacity, 1, now);
     if (!capacityReceipt) {
         co_return makeRefusal(errc::capReached, run_outcome::notRun, window_limiter::window);
     }
     std::optional<cap_receipt> shiftReceipt;
     if (request.shifted) {
-        shiftReceipt = m_parts.caps.take({ .kind = cap_kind::shift, .service = request.service, .other = request.home }, 1, now);
+        shiftReceipt = m_parts.caps.take({.kind = cap_kind::shift, .service = request.service, .other = request.home}, 1, now);
         if (!shiftReceipt) {
             m_parts.caps.giveBack(*capacityReceipt, now);
             co_return makeRefusal(errc::capReached, run_outcome::notRun, window_limiter::window);
@@ -172,7 +172,7 @@
 
 asio::awaitable<gate_answer> request_runner::waitForSlot(const carried_request &request)
 {
-    const admit_request wanted{
+    const admit_request wanted {
         .number = m_parts.gate.nextNumber(),
         .caller = request.caller,
         .deadline = request.deadline,
@@ -197,7 +197,7 @@
         co_await reportIfDead(request, slot, answer);
     }
     m_parts.counters.observeHop(request.service, "attempt", std::chrono::duration_cast<microseconds>(m_parts.clock.now() - startedAt));
-    m_parts.traces.end(span, { { "service", request.service.view() }, { "instance", slot.instance.view() }, { "outcome", textOf(answer.outcome) } });
+    m_parts.traces.end(span, {{"service", request.service.view()}, {"instance", slot.instance.view()}, {"outcome", textOf(answer.outcome)}});
     co_return answer;
 }
 
@@ -208,7 +208,7 @@
     if (!answer.upstreamDied) {
         co_return;
     }
-    const upstream_death death{ .request = request.content(), .instance = slot.instance, .incarnation = slot.incarnation };
+    const upstream_death death {.request = request.content(), .instance = slot.instance, .incarnation = slot.incarnation};
     m_parts.poison.report(death, m_parts.clock.now());
     co_await m_parts.deaths.spread(death);
 }
--- a/src/daemon/rule_keeper.cpp
+++ b/src/daemon/rule_keeper.cpp
@@ -26,14 +26,13 @@
         const auto parsed = parseRules(state.text, "accepted rules");
         if (!parsed.rules) {
             // Accepted by a newer release: what is in force stays.
-            logEvent(log_level::error, "rules-unreadable",
-                     { { "version", static_cast<std::int64_t>(state.version) }, { "place", parsed.errors.front().text() } });
+            logEvent(log_level::error, "rules-unreadable", {{"version", static_cast<std::int64_t>(state.version)}, {"place", parsed.errors.front().text()}});
             return false;
         }
         m_rules.set(parsed.rules);
         m_caps.setRules(parsed.rules);
         m_inForceSince = m_clock.wallNow();
-        logEvent(log_level::info, "rules-in-force", { { "version", static_cast<std::int64_t>(state.version) }, { "operator", state.operatorName } });
+        logEvent(log_level::info, "rules-in-force", {{"version", static_cast<std::int64_t>(state.version)}, {"operator", state.operatorName}});
     }
     m_epochs.update(state.epochs);
     for (const auto &[region, first] : m_epochs.firstOpen()) {
--- a/src/daemon/rule_submitter.cpp
+++ b/src/daemon/rule_submitter.cpp
@@ -10,7 +10,7 @@
 
 submit_result failure(errc error)
 {
-    return { .error = error, .version = 0, .winner = {}, .winnerOperator = {} };
+    return {.error = error, .version = 0, .winner = {}, .winnerOperator = {}};
 }
 
 } // namespace
@@ -39,7 +39,7 @@
 bool rule_submitter::isValid(const rules_change &change) const
 {
     const auto parsed = parseRules(change.text, "rules");
-    if (!parsed.rules || parsed.rules->version != change.version || digestOf({ change.text }) != change.content) {
+    if (!parsed.rules || parsed.rules->version != change.version || digestOf({change.text}) != change.content) {
         return false;
     }
     return checkNames(*parsed.rules, m_parts.fleet, m_services, "rules").empty();
@@ -58,7 +58,11 @@
     }
     m_parts.peers.submit(view.leader->address, change, true, timeout, [done = std::move(done)](const result<submit_result> &reply) {
         // A lost answer says nothing about whether the change was accepted.
-        done(reply ? reply.value() : failure(errc::noQuorum));
+        if (reply) {
+            done(reply.value());
+        } else {
+            done(failure(reply.error() == errc::unreachable ? errc::notLeader : errc::noQuorum));
+        }
     });
 }
 
@@ -76,7 +80,7 @@
                                  done(reply.value());
                              } else {
                                  // The one that did not answer may have passed the change on.
-                                 askVoter(position + 1, unsure || !reply, std::move(change), timeout, std::move(done));
+                                 askVoter(position + 1, unsure || (!reply && reply.error() != errc::unreachable), std::move(change), timeout, std::move(done));
                              }
                          });
 }
--- a/src/fleet/exchange_planner.cpp
+++ b/src/fleet/exchange_planner.cpp
@@ -48,7 +48,7 @@
     }
     for (std::size_t i = 0; i < m_options.fanout && !living.empty(); ++i) {
         const auto position = random.below(living.size());
-        addOnce(targets, { .host = living[position]->host, .address = living[position]->rpcAddress });
+        addOnce(targets, {.host = living[position]->host, .address = living[position]->rpcAddress});
         living.erase(living.begin() + static_cast<std::ptrdiff_t>(position));
     }
 }
@@ -61,7 +61,7 @@
     const auto &turn = watched[m_rounds % watched.size()];
     const auto found = std::ranges::find(members, turn, &fleet_member::host);
     if (found != members.end() && found->host != m_self) {
-        addOnce(targets, { .host = found->host, .address = found->rpcAddress });
+        addOnce(targets, {.host = found->host, .address = found->rpcAddress});
     }
 }
 
@@ -69,11 +69,11 @@
 {
     std::vector<exchange_target> lost;
     for (const auto &seed : m_seeds) {
-        lost.push_back({ .host = {}, .address = seed });
+        lost.push_back({.host = {}, .address = seed});
     }
     for (const auto &member : members) {
         if (member.state == member_state::dead) {
-            lost.push_back({ .host = member.host, .address = member.rpcAddress });
+            lost.push_back({.host = member.host, .address = member.rpcAddress});
         }
     }
     if (!lost.empty()) {
--- a/src/fleet/member_table.cpp
+++ b/src/fleet/member_table.cpp
@@ -159,7 +159,7 @@
 {
     const std::lock_guard guard(m_lock);
     return select(m_records, [&](const record &each) {
-        const bool heard = each.heardAt != steady_time{} && now < each.heardAt + window;
+        const bool heard = each.heardAt != steady_time {} && now < each.heardAt + window;
         return each.member.host == m_self || heard;
     });
 }
--- a/src/hornbeampickd.cpp
+++ b/src/hornbeampickd.cpp
@@ -30,7 +30,7 @@
     startLog(parsed.settings->host(), parsed.settings->log().file());
     auto made = makeDaemon(parsed.settings);
     if (!made) {
-        logEvent(log_level::error, "start-failed", { errorField(made.error()) });
+        logEvent(log_level::error, "start-failed", {errorField(made.error())});
         std::cerr << "hornbeampickd: " << made.error().message() << "\n";
         return exitStart;
     }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -28,8 +28,8 @@
 
 constexpr auto noThrow = asio::as_tuple(asio::use_awaitable);
 constexpr int backlog = 1024;
-constexpr milliseconds acceptPause{ 50 };
-constexpr milliseconds lingerTime{ 200 };
+constexpr milliseconds acceptPause {50};
+constexpr milliseconds lingerTime {200};
 
 bool sameName(std::string_view a, std::string_view b)
 {
@@ -38,9 +38,9 @@
 
 // Counters that outlive the server while a connection still ends.
 struct server_state {
-    std::atomic<bool> draining{ false };
-    std::atomic<std::size_t> connections{ 0 };
-    std::atomic<std::size_t> active{ 0 };
+    std::atomic<bool> draining {false};
+    std::atomic<std::size_t> connections {0};
+    std::atomic<std::size_t> active {0};
 };
 
 class counted
@@ -70,9 +70,6 @@
     if (error == http::error::body_limit) {
         return errc::bodyTooLarge;
     }
-    if (error == beast::error::timeout) {
-        return errc::deadlineExceeded;
-    }
     return errc::malformedRequest;
 }
 
@@ -107,6 +104,7 @@
     // Returns true when the connection stays open.
     asio::awaitable<bool> serveOne()
     {
+        using namespace asio::experimental::awaitable_operators;
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(m_options.headerBytes));
         parser.body_limit(m_options.bodyBytes);
@@ -120,8 +118,15 @@
             }
             m_buffer.commit(count);
         }
-        m_stream.expires_after(m_options.headerTime);
-        const auto [failed, bytes] = co_await http::async_read(m_stream, m_buffer, parser, noThrow);
+        // A timer beside the read, since the stream's own would close the socket before the answer.
+        m_stream.expires_never();
+        asio::steady_timer limit(co_await asio::this_coro::executor, m_options.headerTime);
+        auto reading = co_await (http::async_read(m_stream, m_buffer, parser, noThrow) || limit.async_wait(noThrow));
+        if (reading.index() == 1) {
+            co_await write(m_handler.refuse(errc::requestTooSlow), false);
+            co_return false;
+        }
+        const auto failed = std::get<0>(std::get<0>(reading));
         if (failed == http::error::end_of_stream) {
             co_return false;
         }
@@ -177,10 +182,13 @@
     asio::awaitable<void> callerLeft()
     {
         const auto [failed] = co_await m_stream.socket().async_wait(tcp::socket::wait_read, noThrow);
+        if (failed) {
+            co_return;
+        }
         error_code error;
         char byte = 0;
         const auto count = m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        const bool left = !failed && (error || count == 0);
+        const bool left = error || count == 0;
         if (!left) {
             asio::steady_timer never(co_await asio::this_coro::executor, steady_time::max());
             co_await never.async_wait(noThrow);
--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -31,10 +31,9 @@
 using boost::system::error_code;
 
 constexpr auto noThrow = asio::as_tuple(asio::use_awaitable);
-constexpr std::array hopHeaders{
+constexpr std::array hopHeaders {
     "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
-    "host",       "expect",     "proxy-connection"
-};
+    "host",       "expect",     "proxy-connection"};
 constexpr std::string_view outcomeHeader = "Hornbeampick-Outcome";
 
 std::string lowered(std::string_view text)
@@ -60,7 +59,7 @@
     const auto [end, failed] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
     error_code error;
     const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    if (failed != std::errc{} || end != digits.data() + digits.size() || error) {
+    if (failed != std::errc {} || end != digits.data() + digits.size() || error) {
         return std::nullopt;
     }
     return tcp::endpoint(ip, port);
@@ -136,7 +135,7 @@
             stream = co_await connect(address, request.deadline);
         }
         if (!stream) {
-            co_return attempt_result{ .end = attempt_end::refused, .status = 0, .headers = {}, .body = {} };
+            co_return attempt_result {.end = attempt_end::refused, .status = 0, .headers = {}, .body = {}};
         }
         auto result = co_await exchange(*stream, address, request);
         co_return result;
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -31,11 +31,11 @@
     const auto now = std::chrono::system_clock::now();
     const std::time_t whole = std::chrono::system_clock::to_time_t(now);
     const auto part = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
-    std::tm parts{};
+    std::tm parts {};
     gmtime_r(&whole, &parts);
-    std::array<char, 32> date{};
+    std::array<char, 32> date {};
     std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::array<char, 8> millis{};
+    std::array<char, 8> millis {};
     std::snprintf(millis.data(), millis.size(), ".%03dZ", static_cast<int>(part));
     return std::string(date.data()) + millis.data();
 }
@@ -107,7 +107,7 @@
 log_field errorField(std::error_code error)
 {
     const bool ours = error.category() == errorCategory();
-    return { .name = "error", .value = ours ? std::string(errorCode(static_cast<errc>(error.value()))) : error.message() };
+    return {.name = "error", .value = ours ? std::string(errorCode(static_cast<errc>(error.value()))) : error.message()};
 }
 
 std::string jsonQuoted(std::string_view text)
@@ -119,7 +119,7 @@
             out += '\\';
             out += c;
         } else if (byte < firstPrintable) {
-            std::array<char, 8> escaped{};
+            std::array<char, 8> escaped {};
             std::snprintf(escaped.data(), escaped.size(), "\\u%04x", byte);
             out += escaped.data();
         } else {
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -15,9 +15,9 @@
 namespace
 {
 
-const prometheus::Histogram::BucketBoundaries hopSeconds{ 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10 };
-const prometheus::Histogram::BucketBoundaries drainSeconds{ 0.1, 0.5, 1, 2, 5, 10, 30, 60, 300 };
-constexpr std::array roles{ "follower", "pre-candidate", "candidate", "leader", "learner", "stopped", "absent" };
+const prometheus::Histogram::BucketBoundaries hopSeconds {0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
+const prometheus::Histogram::BucketBoundaries drainSeconds {0.1, 0.5, 1, 2, 5, 10, 30, 60, 300};
+constexpr std::array roles {"follower", "pre-candidate", "candidate", "leader", "learner", "stopped", "absent"};
 
 double toSeconds(microseconds time)
 {
@@ -27,7 +27,7 @@
 double processorSeconds()
 {
     constexpr double microsASecond = 1e6;
-    rusage usage{};
+    rusage usage {};
     getrusage(RUSAGE_SELF, &usage);
     const auto seconds = usage.ru_utime.tv_sec + usage.ru_stime.tv_sec;
     const auto micros = usage.ru_utime.tv_usec + usage.ru_stime.tv_usec;
@@ -74,38 +74,38 @@
 
 void metrics::observeHop(const service_name &service, std::string_view hop, microseconds taken)
 {
-    m_families->hops.Add({ { "service", service.string() }, { "hop", std::string(hop) } }, hopSeconds).Observe(toSeconds(taken));
+    m_families->hops.Add({{"service", service.string()}, {"hop", std::string(hop)}}, hopSeconds).Observe(toSeconds(taken));
 }
 
 void metrics::countAnswer(const service_name &service, std::string_view code)
 {
-    m_families->answers.Add({ { "service", service.string() }, { "code", std::string(code) } }).Increment();
+    m_families->answers.Add({{"service", service.string()}, {"code", std::string(code)}}).Increment();
 }
 
 void metrics::countRetry(const service_name &service)
 {
-    m_families->retries.Add({ { "service", service.string() } }).Increment();
+    m_families->retries.Add({{"service", service.string()}}).Increment();
 }
 
 void metrics::countClaim(std::string_view outcome)
 {
-    m_families->claims.Add({ { "outcome", std::string(outcome) } }).Increment();
+    m_families->claims.Add({{"outcome", std::string(outcome)}}).Increment();
 }
 
 void metrics::countLookup(const service_name &service)
 {
-    m_families->lookups.Add({ { "service", service.string() } }).Increment();
+    m_families->lookups.Add({{"service", service.string()}}).Increment();
 }
 
 void metrics::countControl(std::string_view mechanism, std::size_t bytes)
 {
-    m_families->controlBytes.Add({ { "mechanism", std::string(mechanism) } }).Increment(static_cast<double>(bytes));
-    m_families->controlMessages.Add({ { "mechanism", std::string(mechanism) } }).Increment();
+    m_families->controlBytes.Add({{"mechanism", std::string(mechanism)}}).Increment(static_cast<double>(bytes));
+    m_families->controlMessages.Add({{"mechanism", std::string(mechanism)}}).Increment();
 }
 
 void metrics::setHeadroom(const service_name &service, const region_name &region, double freeSlots)
 {
-    m_families->headroom.Add({ { "service", service.string() }, { "region", region.string() } }).Set(freeSlots);
+    m_families->headroom.Add({{"service", service.string()}, {"region", region.string()}}).Set(freeSlots);
 }
 
 void metrics::setRuleVersion(std::uint64_t version)
@@ -116,18 +116,18 @@
 void metrics::setReplicaRole(std::string_view role)
 {
     for (const char *each : roles) {
-        m_families->replicaRole.Add({ { "role", each } }).Set(role == each ? 1 : 0);
+        m_families->replicaRole.Add({{"role", each}}).Set(role == each ? 1 : 0);
     }
 }
 
 void metrics::setMembers(std::string_view state, std::size_t count)
 {
-    m_families->members.Add({ { "state", std::string(state) } }).Set(static_cast<double>(count));
+    m_families->members.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
 
 void metrics::observeDrain(std::string_view target, milliseconds taken)
 {
-    m_families->drains.Add({ { "target", std::string(target) } }, drainSeconds).Observe(toSeconds(taken));
+    m_families->drains.Add({{"target", std::string(target)}}, drainSeconds).Observe(toSeconds(taken));
 }
 
 std::string metrics::text() const
--- a/src/observe/trace.cpp
+++ b/src/observe/trace.cpp
@@ -17,7 +17,7 @@
 
 std::string hexWord(std::uint64_t word)
 {
-    std::array<char, wordDigits + 1> text{};
+    std::array<char, wordDigits + 1> text {};
     std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(word));
     return text.data();
 }
@@ -26,7 +26,7 @@
 {
     std::uint64_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, hexBase);
-    if (error != std::errc{} || end != text.data() + text.size()) {
+    if (error != std::errc {} || end != text.data() + text.size()) {
         return std::nullopt;
     }
     return value;
@@ -53,7 +53,7 @@
     if (!high || !low || !span || (*high | *low) == 0 || *span == 0) {
         return std::nullopt;
     }
-    return trace_context{ .traceHigh = *high, .traceLow = *low, .span = *span };
+    return trace_context {.traceHigh = *high, .traceLow = *low, .span = *span};
 }
 
 tracer::tracer(std::string_view host, const std::string &file, clock_source &clock, random_source &random)
@@ -68,7 +68,7 @@
 
 trace_span tracer::begin(std::string_view name, const std::optional<trace_context> &parent)
 {
-    trace_span span{ .name = name, .context = parent.value_or(trace_context{}), .parent = 0, .startedAt = m_clock.wallNow(), .endedAt = 0 };
+    trace_span span {.name = name, .context = parent.value_or(trace_context {}), .parent = 0, .startedAt = m_clock.wallNow(), .endedAt = 0};
     if (parent) {
         span.parent = parent->span;
     } else {
--- a/src/replica/formation.cpp
+++ b/src/replica/formation.cpp
@@ -26,7 +26,7 @@
     }
     for (const auto &voter : m_listed) {
         if (voter.host != m_self.host) {
-            requests.push_back({ .address = voter.address, .request = { .sender = m_self, .config = config, .join = m_peerFormed } });
+            requests.push_back({.address = voter.address, .request = {.sender = m_self, .config = config, .join = m_peerFormed}});
         }
     }
     return requests;
@@ -55,7 +55,7 @@
     if (request.config && request.config->isVoter(m_self.disk)) {
         m_adopted = request.config;
     }
-    return { .formed = m_adopted.has_value(), .self = m_self, .config = m_adopted.value_or(replica_config{}) };
+    return {.formed = m_adopted.has_value(), .self = m_self, .config = m_adopted.value_or(replica_config {})};
 }
 
 bool formation::proposes() const
--- a/src/replica/replica_core.cpp
+++ b/src/replica/replica_core.cpp
@@ -9,7 +9,7 @@
 {
 
 // A snapshot that was not acknowledged is sent again after this long.
-constexpr milliseconds snapshotRetry{ 2000 };
+constexpr milliseconds snapshotRetry {2000};
 
 const replica_config *configOf(const log_entry &entry)
 {
@@ -123,7 +123,7 @@
         return;
     }
     sendAppend(*best, now);
-    m_output.messages.push_back({ .kind = replica_message_kind::timeoutNow, .from = m_options.self, .to = *best, .term = m_hard.term });
+    m_output.messages.push_back({.kind = replica_message_kind::timeoutNow, .from = m_options.self, .to = *best, .term = m_hard.term});
 }
 
 replica_output replica_core::takeOutput()
@@ -139,7 +139,7 @@
 {
     m_persisted = lastIndex();
     if (m_role == replica_role::leader) {
-        advanceCommit(steady_time{});
+        advanceCommit(steady_time {});
     }
 }
 
@@ -159,7 +159,7 @@
     const log_term term = termAt(index);
     const auto dropped = static_cast<std::ptrdiff_t>(index - m_snapshot.index);
     m_entries.erase(m_entries.begin(), m_entries.begin() + dropped);
-    m_snapshot = { .index = index, .term = term, .config = std::move(config), .state = state };
+    m_snapshot = {.index = index, .term = term, .config = std::move(config), .state = state};
     validate();
 }
 
@@ -245,7 +245,7 @@
 std::vector<replica_id> replica_core::others() const
 {
     std::vector<replica_id> peers;
-    for (const auto &list : { m_config.voters, m_config.learners }) {
+    for (const auto &list : {m_config.voters, m_config.learners}) {
         for (const auto &peer : list) {
             if (peer.disk != m_options.self.disk) {
                 peers.push_back(peer);
@@ -258,7 +258,7 @@
 void replica_core::becomeFollower(log_term term, disk_id leader, steady_time now)
 {
     if (term > m_hard.term) {
-        m_hard = { .term = term, .votedFor = 0 };
+        m_hard = {.term = term, .votedFor = 0};
         m_hardChanged = true;
     }
     m_role = m_config.isVoter(m_options.self.disk) ? replica_role::follower : replica_role::learner;
@@ -271,7 +271,7 @@
 {
     m_role = replica_role::preCandidate;
     m_leader = 0;
-    m_votes = { m_options.self.disk };
+    m_votes = {m_options.self.disk};
     resetElectionDeadline(now);
     if (isMajority(m_votes)) {
         startElection(now, false);
@@ -284,9 +284,9 @@
 {
     m_role = replica_role::candidate;
     m_leader = 0;
-    m_hard = { .term = m_hard.term + 1, .votedFor = m_options.self.disk };
+    m_hard = {.term = m_hard.term + 1, .votedFor = m_options.self.disk};
     m_hardChanged = true;
-    m_votes = { m_options.self.disk };
+    m_votes = {m_options.self.disk};
     resetElectionDeadline(now);
     if (isMajority(m_votes)) {
         becomeLeader(now);
@@ -301,9 +301,9 @@
     m_leader = m_options.self.disk;
     m_progress.clear();
     for (const auto &peer : others()) {
-        m_progress[peer.disk] = { .next = lastIndex() + 1, .match = 0, .lastReply = now, .snapshotUntil = {} };
+        m_progress[peer.disk] = {.next = lastIndex() + 1, .match = 0, .lastReply = now, .snapshotUntil = {}};
     }
-    appendOwn(barrier_entry{});
+    appendOwn(barrier_entry {});
     broadcastAppend(now);
 }
 
@@ -330,7 +330,7 @@
 {
     const bool granted = message.term > m_hard.term && logIsCurrent(message) && !leaderIsFresh(now);
     // A refusal carries our term, so that a candidate of the past catches up.
-    reply(message, { .kind = replica_message_kind::preVoteReply, .term = granted ? message.term : m_hard.term, .granted = granted });
+    reply(message, {.kind = replica_message_kind::preVoteReply, .term = granted ? message.term : m_hard.term, .granted = granted});
 }
 
 void replica_core::onPreVoteReply(const replica_message &message, steady_time now)
@@ -367,7 +367,7 @@
     if (granted) {
         resetElectionDeadline(now);
     }
-    reply(message, { .kind = replica_message_kind::voteReply, .term = m_hard.term, .granted = granted });
+    reply(message, {.kind = replica_message_kind::voteReply, .term = m_hard.term, .granted = granted});
 }
 
 void replica_core::onVoteReply(const replica_message &message, steady_time now)
@@ -387,7 +387,7 @@
 
 void replica_core::onAppendRequest(const replica_message &message, steady_time now)
 {
-    replica_message answer{ .kind = replica_message_kind::appendReply, .term = m_hard.term };
+    replica_message answer {.kind = replica_message_kind::appendReply, .term = m_hard.term};
     if (message.term < m_hard.term) {
         reply(message, std::move(answer));
         return;
@@ -443,7 +443,7 @@
 void replica_core::onSnapshotRequest(const replica_message &message, steady_time now)
 {
     if (message.term < m_hard.term || !message.snapshot) {
-        reply(message, { .kind = replica_message_kind::appendReply, .term = m_hard.term });
+        reply(message, {.kind = replica_message_kind::appendReply, .term = m_hard.term});
         return;
     }
     becomeFollower(message.term, message.from.disk, now);
@@ -463,7 +463,7 @@
         m_persisted = m_snapshot.index;
         restoreConfig();
     }
-    reply(message, { .kind = replica_message_kind::appendReply, .term = m_hard.term, .lastIndex = m_commit, .granted = true });
+    reply(message, {.kind = replica_message_kind::appendReply, .term = m_hard.term, .lastIndex = m_commit, .granted = true});
 }
 
 void replica_core::acceptEntries(std::span<const log_entry> entries)
@@ -489,13 +489,13 @@
 
 void replica_core::appendOwn(entry_body body)
 {
-    m_entries.push_back({ .index = lastIndex() + 1, .term = m_hard.term, .body = std::move(body) });
+    m_entries.push_back({.index = lastIndex() + 1, .term = m_hard.term, .body = std::move(body)});
     m_output.entries.push_back(m_entries.back());
     if (const auto *changed = configOf(m_entries.back())) {
         m_config = *changed;
         m_configIndex = m_entries.back().index;
         for (const auto &peer : others()) {
-            m_progress.try_emplace(peer.disk, replica_progress{ .next = lastIndex(), .match = 0, .lastReply = {}, .snapshotUntil = {} });
+            m_progress.try_emplace(peer.disk, replica_progress {.next = lastIndex(), .match = 0, .lastReply = {}, .snapshotUntil = {}});
         }
         std::erase_if(m_progress, [this](const auto &item) { return !m_config.isVoter(item.first) && !m_config.isLearner(item.first); });
     }
@@ -517,7 +517,7 @@
         sendSnapshot(peer, progress, now);
         return;
     }
-    replica_message message{ .kind = replica_message_kind::appendRequest, .from = m_options.self, .to = peer, .term = m_hard.term };
+    replica_message message {.kind = replica_message_kind::appendRequest, .from = m_options.self, .to = peer, .term = m_hard.term};
     message.lastIndex = progress.next - 1;
     message.lastTerm = termAt(message.lastIndex);
     message.commitIndex = m_commit;
@@ -534,7 +534,7 @@
         return;
     }
     progress.snapshotUntil = now + snapshotRetry;
-    replica_message message{ .kind = replica_message_kind::snapshotRequest, .from = m_options.self, .to = peer, .term = m_hard.term };
+    replica_message message {.kind = replica_message_kind::snapshotRequest, .from = m_options.self, .to = peer, .term = m_hard.term};
     message.snapshot = m_snapshot;
     m_output.messages.push_back(std::move(message));
 }
@@ -554,7 +554,7 @@
             continue;
         }
         m_output.messages.push_back(
-            { .kind = kind, .from = m_options.self, .to = voter, .term = term, .lastIndex = lastIndex(), .lastTerm = lastTerm(), .granted = askedByLeader });
+            {.kind = kind, .from = m_options.self, .to = voter, .term = term, .lastIndex = lastIndex(), .lastTerm = lastTerm(), .granted = askedByLeader});
     }
 }
 
@@ -601,7 +601,7 @@
 
 bool replica_core::hasQuorum(steady_time now) const
 {
-    std::set<disk_id> heard = { m_options.self.disk };
+    std::set<disk_id> heard = {m_options.self.disk};
     for (const auto &[disk, progress] : m_progress) {
         if (now < progress.lastReply + m_options.electionTimeout) {
             heard.insert(disk);
--- a/src/replica/replica_engine.cpp
+++ b/src/replica/replica_engine.cpp
@@ -8,13 +8,13 @@
 namespace
 {
 
-constexpr milliseconds formationRetry{ 300 };
-constexpr milliseconds joinPatience{ 5000 };
-constexpr milliseconds idleWait{ 1000 };
+constexpr milliseconds formationRetry {300};
+constexpr milliseconds joinPatience {5000};
+constexpr milliseconds idleWait {1000};
 
 submit_result failure(errc error)
 {
-    return { .error = error, .version = 0, .winner = {}, .winnerOperator = {} };
+    return {.error = error, .version = 0, .winner = {}, .winnerOperator = {}};
 }
 
 } // namespace
@@ -39,7 +39,7 @@
         failStorage(image.error());
         return;
     }
-    m_self = { .host = m_options.host, .disk = image.value().disk, .address = m_options.address };
+    m_self = {.host = m_options.host, .disk = image.value().disk, .address = m_options.address};
     m_hard = image.value().hard;
     if (m_self.disk == 0) {
         m_self.disk = m_random.next() | 1U;
@@ -83,7 +83,7 @@
     const bool fromLeader = message.kind == replica_message_kind::appendRequest || message.kind == replica_message_kind::snapshotRequest;
     const bool invited = !m_core && m_formation && fromLeader;
     if (invited && message.to.disk == m_self.disk) {
-        startCore({ .disk = m_self.disk, .hard = m_hard, .snapshot = {}, .entries = {} });
+        startCore({.disk = m_self.disk, .hard = m_hard, .snapshot = {}, .entries = {}});
     }
     if (m_core) {
         m_core->step(message, m_clock.now());
@@ -108,7 +108,7 @@
     if (request.join && m_core->role() == replica_role::leader) {
         m_repair.onJoin(request.sender, m_clock.now());
     }
-    return form_reply{ .formed = true, .self = m_self, .config = m_core->config() };
+    return form_reply {.formed = true, .self = m_self, .config = m_core->config()};
 }
 
 void replica_engine::submit(entry_body body, submit_done done)
@@ -122,7 +122,7 @@
         done(failure(static_cast<errc>(index.error().value())));
         return;
     }
-    m_waiters.emplace(index.value(), waiter{ .term = m_core->term(), .done = std::move(done) });
+    m_waiters.emplace(index.value(), waiter {.term = m_core->term(), .done = std::move(done)});
 }
 
 void replica_engine::handOver()
@@ -163,14 +163,14 @@
 {
     auto waiters = std::exchange(m_waiters, {});
     for (auto &[index, each] : waiters) {
-        each.done({ .error = errc::noQuorum, .version = 0, .winner = {}, .winnerOperator = {} });
+        each.done({.error = errc::noQuorum, .version = 0, .winner = {}, .winnerOperator = {}});
     }
 }
 
 replica_view replica_engine::view() const
 {
     if (m_stopped) {
-        return { .role = replica_role::stopped, .term = m_hard.term, .leader = {}, .config = {}, .commit = 0 };
+        return {.role = replica_role::stopped, .term = m_hard.term, .leader = {}, .config = {}, .commit = 0};
     }
     if (!m_core) {
         return {};
@@ -197,8 +197,8 @@
     if (!m_formation->adopted()) {
         return;
     }
-    replica_snapshot first{ .index = 1, .term = 1, .config = *m_formation->adopted(), .state = {} };
-    m_hard = { .term = 1, .votedFor = 0 };
+    replica_snapshot first {.index = 1, .term = 1, .config = *m_formation->adopted(), .state = {}};
+    m_hard = {.term = 1, .votedFor = 0};
     if (const auto saved = m_store.saveSnapshot(first, {}); !saved) {
         failStorage(saved.error());
         return;
@@ -207,13 +207,13 @@
         failStorage(saved.error());
         return;
     }
-    startCore({ .disk = m_self.disk, .hard = m_hard, .snapshot = std::move(first), .entries = {} });
+    startCore({.disk = m_self.disk, .hard = m_hard, .snapshot = std::move(first), .entries = {}});
 }
 
 void replica_engine::startCore(replica_image image)
 {
     m_ledger = rule_ledger(image.snapshot.state);
-    const replica_options options{
+    const replica_options options {
         .self = m_self,
         .electionTimeout = m_options.electionTimeout,
         .heartbeat = m_options.heartbeat,
@@ -261,7 +261,7 @@
         }
         m_waiters.erase(first, last);
         for (auto &each : reached) {
-            each.done(each.term == entry.term ? verdict : submit_result{ .error = errc::noQuorum, .version = 0, .winner = {}, .winnerOperator = {} });
+            each.done(each.term == entry.term ? verdict : submit_result {.error = errc::noQuorum, .version = 0, .winner = {}, .winnerOperator = {}});
         }
     }
     if (!output.committed.empty()) {
@@ -277,7 +277,7 @@
         return;
     }
     m_core->compact(applied, m_ledger.state());
-    const replica_snapshot snapshot{
+    const replica_snapshot snapshot {
         .index = applied,
         .term = m_core->snapshotTerm(),
         .config = m_core->snapshotConfig(),
--- a/src/replica/replica_node.cpp
+++ b/src/replica/replica_node.cpp
@@ -1,19 +1,12 @@
 #include "replica/replica_node.h"
 
+#include "core/overloaded.h"
+
 #include <utility>
 
 namespace hornbeampick
 {
 
-namespace
-{
-
-template <typename... Handlers> struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
-} // namespace
-
 replica_node::replica_node(const replica_node_options &options, replica_store &store, replica_transport &transport, ledger_listener &listener,
                            clock_source &clock, random_source &random)
     : m_engine(options, store, transport, listener, clock, random, [this](const form_reply &reply) { push(reply); })
@@ -49,12 +42,12 @@
 
 void replica_node::receiveForm(form_request request, std::function<void(const form_reply &)> done)
 {
-    push(form_call{ .request = std::move(request), .done = std::move(done) });
+    push(form_call {.request = std::move(request), .done = std::move(done)});
 }
 
 void replica_node::submit(entry_body body, submit_done done)
 {
-    push(submit_call{ .body = std::move(body), .done = std::move(done) });
+    push(submit_call {.body = std::move(body), .done = std::move(done)});
 }
 
 replica_view replica_node::view() const
@@ -90,7 +83,7 @@
 
 void replica_node::handle(work &item)
 {
-    std::visit(overloaded{
+    std::visit(overloaded {
                    [this](const replica_message &message) { m_engine.receive(message); },
                    [this](form_call &call) {
                        if (const auto reply = m_engine.onFormRequest(call.request)) {
--- a/src/replica/rule_ledger.cpp
+++ b/src/replica/rule_ledger.cpp
@@ -19,7 +19,7 @@
     if (const auto *epoch = std::get_if<claim_epoch>(&entry.body)) {
         open(*epoch);
     }
-    return { .error = errc::ok, .version = m_state.version, .winner = {}, .winnerOperator = {} };
+    return {.error = errc::ok, .version = m_state.version, .winner = {}, .winnerOperator = {}};
 }
 
 submit_result rule_ledger::judge(const rules_change &change) const
@@ -28,17 +28,17 @@
     const auto same
         = std::ranges::find_if(history, [&](const history_record &record) { return record.version == change.version && record.content == change.content; });
     if (same != history.end()) {
-        return { .error = errc::ok, .version = change.version, .winner = same->content, .winnerOperator = same->operatorName };
+        return {.error = errc::ok, .version = change.version, .winner = same->content, .winnerOperator = same->operatorName};
     }
     // The first file may start at any version; later ones follow one by one.
     if (m_state.version == 0 || change.version == m_state.version + 1) {
-        return { .error = errc::ok, .version = change.version, .winner = change.content, .winnerOperator = change.operatorName };
+        return {.error = errc::ok, .version = change.version, .winner = change.content, .winnerOperator = change.operatorName};
     }
     const auto winner = std::ranges::find(history, change.version, &history_record::version);
     if (winner != history.end()) {
-        return { .error = errc::versionConflict, .version = m_state.version, .winner = winner->content, .winnerOperator = winner->operatorName };
+        return {.error = errc::versionConflict, .version = m_state.version, .winner = winner->content, .winnerOperator = winner->operatorName};
     }
-    return { .error = errc::versionConflict, .version = m_state.version, .winner = m_state.content, .winnerOperator = m_state.operatorName };
+    return {.error = errc::versionConflict, .version = m_state.version, .winner = m_state.content, .winnerOperator = m_state.operatorName};
 }
 
 submit_result rule_ledger::accept(const rules_change &change)
@@ -52,7 +52,7 @@
     m_state.text = change.text;
     m_state.content = change.content;
     m_state.operatorName = change.operatorName;
-    m_state.history.push_back({ .version = change.version, .content = change.content, .operatorName = change.operatorName, .acceptedAt = change.submittedAt });
+    m_state.history.push_back({.version = change.version, .content = change.content, .operatorName = change.operatorName, .acceptedAt = change.submittedAt});
     if (m_state.history.size() > historySize) {
         m_state.history.erase(m_state.history.begin());
     }
--- a/src/replica/voter_repair.cpp
+++ b/src/replica/voter_repair.cpp
@@ -14,7 +14,7 @@
 void voter_repair::onJoin(const replica_id &replica, steady_time now)
 {
     std::erase_if(m_joins, [&](const join_request &join) { return join.replica.host == replica.host; });
-    m_joins.push_back({ .replica = replica, .askedAt = now });
+    m_joins.push_back({.replica = replica, .askedAt = now});
 }
 
 std::optional<replica_config> voter_repair::next(const replica_core &core, steady_time now)
--- a/src/rpc/grpc_peer_client.cpp
+++ b/src/rpc/grpc_peer_client.cpp
@@ -17,7 +17,7 @@
 {
 
 constexpr int messageBytesMaximum = 128 << 20;
-constexpr milliseconds oneWayTimeout{ 2000 };
+constexpr milliseconds oneWayTimeout {2000};
 constexpr int reconnectMinimumMs = 50;
 constexpr int reconnectMaximumMs = 500;
 
@@ -37,8 +37,17 @@
     Reply reply;
 };
 
+// The library says in words only that a call never left for want of a connection.
+bool neverSent(const grpc::Status &status)
+{
+    return status.error_code() == grpc::StatusCode::UNAVAILABLE && status.error_message().starts_with("failed to connect to all addresses");
+}
+
 std::error_code failureOf(const grpc::Status &status)
 {
+    if (neverSent(status)) {
+        return make_error_code(errc::unreachable);
+    }
     return make_error_code(status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED ? errc::timedOut : errc::peerUnreachable);
 }
 
@@ -89,10 +98,6 @@
 
     call_canceller forward(const std::string &address, const forward_message &message, peer_done<forward_result> done) override
     {
-        if (connectionTo(address).channel->GetState(true) == GRPC_CHANNEL_TRANSIENT_FAILURE) {
-            done(errc::unreachable);
-            return [] {};
-        }
         const auto context = call<schema::forward_reply>("", address, encode(message), message.timeout, &stub_async::forward,
                                                          [done = std::move(done)](const result<schema::forward_reply> &reply) { finish(reply, done); });
         return [context] { context->TryCancel(); };
--- a/src/rpc/grpc_peer_server.cpp
+++ b/src/rpc/grpc_peer_server.cpp
@@ -43,7 +43,7 @@
 
     grpc::ServerUnaryReactor *notify_rules(context_pointer context, const schema::rules_notice *request, schema::empty *) override
     {
-        m_handler.onNotifyRules({ .appliedIndex = request->applied_index(), .root = host_name(request->root()), .tellerAddress = request->teller_address() });
+        m_handler.onNotifyRules({.appliedIndex = request->applied_index(), .root = host_name(request->root()), .tellerAddress = request->teller_address()});
         return finish(context);
     }
 
--- a/src/rpc/peer_types.cpp
+++ b/src/rpc/peer_types.cpp
@@ -32,7 +32,7 @@
 
 digest carried_request::content() const
 {
-    return digestOf({ service.view(), method, target, body });
+    return digestOf({service.view(), method, target, body});
 }
 
 std::size_t carried_request::bytes() const
--- a/src/rpc/tls_credentials.cpp
+++ b/src/rpc/tls_credentials.cpp
@@ -51,7 +51,7 @@
         return {};
     }
     const auto names = auth->FindPropertyValues("x509_common_name");
-    return names.empty() ? std::string{} : std::string(names.front().data(), names.front().size());
+    return names.empty() ? std::string {} : std::string(names.front().data(), names.front().size());
 }
 
 } // namespace hornbeampick
--- a/src/rules/block_table.cpp
+++ b/src/rules/block_table.cpp
@@ -14,19 +14,19 @@
 constexpr unsigned octetBits = 8;
 constexpr unsigned octetMaximum = 255;
 constexpr unsigned indexBits = 16;
-constexpr std::size_t indexSize = std::size_t{ 1 } << indexBits;
+constexpr std::size_t indexSize = std::size_t {1} << indexBits;
 constexpr unsigned sharingPrefixBits = 24;
 
 ipv4 maskOf(unsigned prefixBits)
 {
-    return prefixBits == 0 ? 0 : ~ipv4{ 0 } << (addressBits - prefixBits);
+    return prefixBits == 0 ? 0 : ~ipv4 {0} << (addressBits - prefixBits);
 }
 
 std::optional<unsigned> parseNumber(std::string_view text, unsigned maximum)
 {
     unsigned value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool whole = error == std::errc{} && end == text.data() + text.size();
+    const bool whole = error == std::errc {} && end == text.data() + text.size();
     const bool padded = text.size() > 1 && text.front() == '0';
     if (!whole || padded || value > maximum) {
         return std::nullopt;
@@ -47,14 +47,14 @@
     void add(const block_home &next)
     {
         closeUntil(next.block.address);
-        const std::uint64_t size = std::uint64_t{ 1 } << (addressBits - next.block.prefixBits);
-        m_open.push_back({ .end = next.block.address + size, .home = next.home });
+        const std::uint64_t size = std::uint64_t {1} << (addressBits - next.block.prefixBits);
+        m_open.push_back({.end = next.block.address + size, .home = next.home});
         mark(next.block.address, next.home);
     }
 
     std::map<ipv4, region_index> finish()
     {
-        closeUntil(std::uint64_t{ 1 } << addressBits);
+        closeUntil(std::uint64_t {1} << addressBits);
         return std::move(m_marks);
     }
 
@@ -64,7 +64,7 @@
         while (!m_open.empty() && m_open.back().end <= start) {
             const std::uint64_t end = m_open.back().end;
             m_open.pop_back();
-            if (end < (std::uint64_t{ 1 } << addressBits)) {
+            if (end < (std::uint64_t {1} << addressBits)) {
                 mark(static_cast<ipv4>(end), m_open.empty() ? block_table::noHome : m_open.back().home);
             }
         }
@@ -111,7 +111,7 @@
     if (!address || !prefix || (*address & ~maskOf(*prefix)) != 0) {
         return std::nullopt;
     }
-    return client_block{ .address = *address, .prefixBits = *prefix };
+    return client_block {.address = *address, .prefixBits = *prefix};
 }
 
 ipv4 sharingBlock(ipv4 client)
@@ -120,8 +120,8 @@
 }
 
 block_table::block_table()
-    : m_starts{ 0 }
-    , m_homes{ noHome }
+    : m_starts {0}
+    , m_homes {noHome}
 {
     index();
 }
--- a/src/rules/line_reader.cpp
+++ b/src/rules/line_reader.cpp
@@ -25,7 +25,7 @@
     std::size_t at = text.find_first_not_of(blanks);
     while (at != std::string_view::npos) {
         const std::size_t end = std::min(text.find_first_of(blanks, at), text.size());
-        words.push_back({ .text = text.substr(at, end - at), .column = static_cast<std::uint32_t>(at + 1) });
+        words.push_back({.text = text.substr(at, end - at), .column = static_cast<std::uint32_t>(at + 1)});
         at = text.find_first_not_of(blanks, end);
     }
     return words;
@@ -86,7 +86,7 @@
         text.remove_suffix(suffix.size());
     }
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool whole = error == std::errc{} && end == text.data() + text.size();
+    const bool whole = error == std::errc {} && end == text.data() + text.size();
     if (!suffixed || !whole || value < minimum || value > maximum) {
         failAtTaken(expected);
         return minimum;
@@ -117,7 +117,7 @@
         return;
     }
     const bool inside = index < m_words.size();
-    m_error = rule_error{
+    m_error = rule_error {
         .file = std::string(m_file),
         .line = m_number,
         .column = inside ? m_words[index].column : static_cast<std::uint32_t>(m_line.size() + 1),
--- a/src/rules/rule_parser.cpp
+++ b/src/rules/rule_parser.cpp
@@ -29,17 +29,17 @@
     std::uint64_t bitsPerSecond;
 };
 
-constexpr std::array linkUnits{
-    link_unit{ "kbit/s", 1'000 },
-    link_unit{ "Mbit/s", 1'000'000 },
-    link_unit{ "Gbit/s", 1'000'000'000 },
+constexpr std::array linkUnits {
+    link_unit {"kbit/s", 1'000},
+    link_unit {"Mbit/s", 1'000'000},
+    link_unit {"Gbit/s", 1'000'000'000},
 };
 
 std::optional<std::uint32_t> wholeNumber(std::string_view text)
 {
     std::uint32_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || error != std::errc{} || end != text.data() + text.size()) {
+    if (text.empty() || error != std::errc {} || end != text.data() + text.size()) {
         return std::nullopt;
     }
     return value;
@@ -69,10 +69,10 @@
         }
         checkShares();
         if (!m_errors.empty()) {
-            return { .rules = nullptr, .errors = std::move(m_errors) };
+            return {.rules = nullptr, .errors = std::move(m_errors)};
         }
         makeHomes();
-        return { .rules = std::make_shared<const rule_set>(std::move(m_rules)), .errors = {} };
+        return {.rules = std::make_shared<const rule_set>(std::move(m_rules)), .errors = {}};
     }
 
 private:
@@ -129,7 +129,7 @@
         rule.region = region_name(line.take("a region"));
         line.expect("capacity");
         rule.service = service_name(line.take("a service"));
-        unique(line, { "capacity", rule.region.view(), rule.service.view() });
+        unique(line, {"capacity", rule.region.view(), rule.service.view()});
         rule.perSecond = rate(line);
         rule.origin = originOf(line);
         m_rules.capacities.push_back(std::move(rule));
@@ -143,7 +143,7 @@
         if (rule.first == rule.second) {
             line.failAtTaken("another region");
         }
-        unique(line, { "link", std::min(rule.first, rule.second).view(), std::max(rule.first, rule.second).view() });
+        unique(line, {"link", std::min(rule.first, rule.second).view(), std::max(rule.first, rule.second).view()});
         line.expect("cap");
         rule.bitsPerSecond = linkRate(line);
         rule.origin = originOf(line);
@@ -178,7 +178,7 @@
     {
         drain_rule rule;
         bool known = false;
-        for (const auto target : { drain_target::region, drain_target::failureDomain, drain_target::host, drain_target::upstream }) {
+        for (const auto target : {drain_target::region, drain_target::failureDomain, drain_target::host, drain_target::upstream}) {
             if (!known && line.accept(keywordOf(target))) {
                 rule.target = target;
                 known = true;
@@ -212,7 +212,7 @@
         if (!block) {
             line.failAtTaken("a client block such as 10.20.0.0/16, with no bits beyond its prefix");
         }
-        rule.block = block.value_or(client_block{});
+        rule.block = block.value_or(client_block {});
         line.expect("home");
         rule.home = region_name(line.take("a region"));
         rule.origin = originOf(line);
@@ -292,7 +292,7 @@
 
     static rule_origin originOf(const line_reader &line)
     {
-        return { .line = line.number(), .requester = std::string(line.comment()) };
+        return {.line = line.number(), .requester = std::string(line.comment())};
     }
 
     void unique(line_reader &line, const std::vector<std::string_view> &subject)
@@ -329,14 +329,14 @@
             if (isNew) {
                 m_rules.homeRegions.push_back(rule.home);
             }
-            blocks.push_back({ .block = rule.block, .home = position->second });
+            blocks.push_back({.block = rule.block, .home = position->second});
         }
         m_rules.homes = block_table::make(blocks);
     }
 
     void report(std::uint32_t line, std::uint32_t column, std::string_view expected, std::string_view found)
     {
-        m_errors.push_back({ .file = std::string(m_file), .line = line, .column = column, .expected = std::string(expected), .found = std::string(found) });
+        m_errors.push_back({.file = std::string(m_file), .line = line, .column = column, .expected = std::string(expected), .found = std::string(found)});
     }
 
     std::string_view m_text;
@@ -460,7 +460,7 @@
 {
     std::vector<rule_error> errors;
     const auto report = [&](const rule_origin &origin, std::string_view expected, std::string_view found) {
-        errors.push_back({ .file = std::string(file), .line = origin.line, .column = 1, .expected = std::string(expected), .found = std::string(found) });
+        errors.push_back({.file = std::string(file), .line = origin.line, .column = 1, .expected = std::string(expected), .found = std::string(found)});
     };
     const auto region = [&](const rule_origin &origin, const region_name &name) {
         if (fleet.find(name) == nullptr) {
--- a/src/rules/rule_text.cpp
+++ b/src/rules/rule_text.cpp
@@ -51,7 +51,7 @@
         before.pop_back();
         after.pop_back();
     }
-    return { .before = std::move(before), .after = std::move(after) };
+    return {.before = std::move(before), .after = std::move(after)};
 }
 
 } // namespace
@@ -111,9 +111,9 @@
             ++i;
             ++j;
         } else if (j == b.size() || (i < a.size() && lengths[i + 1][j] >= lengths[i][j + 1])) {
-            changes.push_back({ .added = false, .line = std::string(a[i++]) });
+            changes.push_back({.added = false, .line = std::string(a[i++])});
         } else {
-            changes.push_back({ .added = true, .line = std::string(b[j++]) });
+            changes.push_back({.added = true, .line = std::string(b[j++])});
         }
     }
     return changes;
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -61,7 +61,7 @@
     {
         const auto mark = node.Mark();
         const auto line = mark.is_null() ? 0U : static_cast<std::uint32_t>(mark.line + 1);
-        m_errors.push_back({ .file = std::string(m_file), .line = line, .key = key, .expected = std::string(expected) });
+        m_errors.push_back({.file = std::string(m_file), .line = line, .key = key, .expected = std::string(expected)});
     }
 
     std::vector<settings_error> take()
@@ -183,7 +183,7 @@
 
 bool isAddress(const std::string &text)
 {
-    in_addr parsed{};
+    in_addr parsed {};
     return ::inet_pton(AF_INET, text.c_str(), &parsed) == 1;
 }
 
@@ -238,7 +238,7 @@
     void expect(bool holds, std::string_view key, std::string_view expected)
     {
         if (!holds) {
-            m_errors.push_back({ .file = std::string(m_file), .line = 0, .key = std::string(key), .expected = std::string(expected) });
+            m_errors.push_back({.file = std::string(m_file), .line = 0, .key = std::string(key), .expected = std::string(expected)});
         }
     }
 
@@ -250,7 +250,7 @@
 settings_parse failed(std::string_view file, std::uint32_t line, std::string_view key, std::string_view expected)
 {
     settings_parse parse;
-    parse.errors.push_back({ .file = std::string(file), .line = line, .key = std::string(key), .expected = std::string(expected) });
+    parse.errors.push_back({.file = std::string(file), .line = line, .key = std::string(key), .expected = std::string(expected)});
     return parse;
 }
 
@@ -273,15 +273,15 @@
         settings_reader reader(file);
         reader.readMessage(root, *settings, "");
         if (auto errors = reader.take(); !errors.empty()) {
-            return { .settings = nullptr, .errors = std::move(errors) };
+            return {.settings = nullptr, .errors = std::move(errors)};
         }
     } catch (const YAML::Exception &error) {
         return failed(file, static_cast<std::uint32_t>(error.mark.line + 1), "yaml", error.msg);
     }
     if (auto errors = settings_checker(*settings, file).check(); !errors.empty()) {
-        return { .settings = nullptr, .errors = std::move(errors) };
+        return {.settings = nullptr, .errors = std::move(errors)};
     }
-    return { .settings = std::move(settings), .errors = {} };
+    return {.settings = std::move(settings), .errors = {}};
 }
 
 settings_parse loadSettings(const std::string &path)
@@ -299,7 +299,7 @@
 {
     std::vector<region_domains> regions;
     for (const auto &region : settings.regions()) {
-        region_domains made{ .name = region_name(region.name()), .domains = {} };
+        region_domains made {.name = region_name(region.name()), .domains = {}};
         for (const auto &domain : region.failure_domains()) {
             made.domains.emplace_back(domain);
         }
--- a/src/steering/cap_table.cpp
+++ b/src/steering/cap_table.cpp
@@ -48,22 +48,22 @@
     m_split.rules = std::move(rules);
 }
 
-void cap_table::setSeat(const cap_seat &seat, steady_time from)
+void cap_table::setSeat(const cap_seat &seat, steady_time now, steady_time from)
 {
     const std::lock_guard guard(m_lock);
     if (m_split.current == seat) {
         return;
     }
-    m_split.former = m_split.current;
+    std::erase_if(m_split.former, [now](const former_seat &former) { return now >= former.until; });
+    m_split.former.push_back({.seat = m_split.current, .until = from});
     m_split.current = seat;
-    m_split.from = from;
 }
 
 std::optional<cap_receipt> cap_table::take(const cap_key &key, std::uint64_t units, steady_time now)
 {
     const auto limit = limitOf(key, now);
     if (!limit) {
-        return cap_receipt{ .key = key, .units = 0, .takenAt = now };
+        return cap_receipt {.key = key, .units = 0, .takenAt = now};
     }
     const bool taken = m_limiters.with(shardOf(key), [&](limiters &all) {
         auto &limiter = all[key];
@@ -73,7 +73,7 @@
     if (!taken) {
         return std::nullopt;
     }
-    return cap_receipt{ .key = key, .units = units, .takenAt = now };
+    return cap_receipt {.key = key, .units = units, .takenAt = now};
 }
 
 void cap_table::giveBack(const cap_receipt &receipt, steady_time now)
@@ -86,7 +86,7 @@
 
 milliseconds cap_table::chargeBytes(const region_name &to, std::uint64_t bytes, steady_time now)
 {
-    const cap_key key{ .kind = cap_kind::link, .service = {}, .other = to };
+    const cap_key key {.kind = cap_kind::link, .service = {}, .other = to};
     const auto limit = limitOf(key, now);
     if (!limit) {
         return {};
@@ -104,7 +104,7 @@
 {
     return m_limiters.with(shardOf(key), [&](limiters &all) {
         const auto found = all.find(key);
-        return found == all.end() ? std::uint64_t{ 0 } : found->second.used(now);
+        return found == all.end() ? std::uint64_t {0} : found->second.used(now);
     });
 }
 
@@ -118,9 +118,11 @@
     if (!total) {
         return std::nullopt;
     }
-    const std::uint64_t part = partOf(*total, m_split.current);
-    if (now < m_split.from) {
-        return std::min(part, partOf(*total, m_split.former));
+    std::uint64_t part = partOf(*total, m_split.current);
+    for (const auto &former : m_split.former) {
+        if (now < former.until) {
+            part = std::min(part, partOf(*total, former.seat));
+        }
     }
     return part;
 }
--- a/src/steering/load_view.cpp
+++ b/src/steering/load_view.cpp
@@ -70,14 +70,14 @@
         }
         for (const auto &[host, known] : found->second) {
             if (known.region == region && known.load.slots > 0 && now < known.reportedAt + m_staleAfter) {
-                chosen.push_back({ .host = host, .slots = known.load.slots, .free = known.load.free() - known.pending });
+                chosen.push_back({.host = host, .slots = known.load.slots, .free = known.load.free() - known.pending});
             }
         }
     });
     if (!chosen.empty()) {
         std::ranges::rotate(chosen, chosen.begin() + static_cast<std::ptrdiff_t>(turn % chosen.size()));
     }
-    std::ranges::stable_sort(chosen, std::ranges::greater{}, &load_candidate::free);
+    std::ranges::stable_sort(chosen, std::ranges::greater {}, &load_candidate::free);
     return chosen;
 }
 
--- a/src/steering/request_gate.cpp
+++ b/src/steering/request_gate.cpp
@@ -34,9 +34,9 @@
         auto &chosen = entryOf(all, service);
         const admission verdict = chosen.pool->admit(request, m_clock.now(), m_random);
         if (const auto *granted = std::get_if<slot_grant>(&verdict)) {
-            deliveries.push_back({ .callback = std::move(answer), .answer = *granted });
+            deliveries.push_back({.callback = std::move(answer), .answer = *granted});
         } else if (const auto *refused = std::get_if<slot_refused>(&verdict)) {
-            deliveries.push_back({ .callback = std::move(answer), .answer = *refused });
+            deliveries.push_back({.callback = std::move(answer), .answer = *refused});
         } else {
             chosen.waiting.emplace(request.number, std::move(answer));
         }
@@ -83,7 +83,7 @@
     std::vector<decision> decisions;
     for (auto &report : reports()) {
         const placement where = decide(report);
-        decisions.push_back({ .report = std::move(report), .where = where });
+        decisions.push_back({.report = std::move(report), .where = where});
     }
     std::vector<delivery> deliveries;
     for (const auto &[report, where] : decisions) {
@@ -112,7 +112,7 @@
     std::vector<service_load> loads;
     m_entries.each([&](const entries &all) {
         for (const auto &[service, each] : all) {
-            loads.push_back({ .service = service, .load = each.pool->load(m_clock.now()) });
+            loads.push_back({.service = service, .load = each.pool->load(m_clock.now())});
         }
     });
     return loads;
@@ -122,7 +122,7 @@
 {
     return m_entries.with(shardOf(service), [&](const entries &all) {
         const auto found = all.find(service);
-        return found == all.end() ? pool_load{} : found->second.pool->load(m_clock.now());
+        return found == all.end() ? pool_load {} : found->second.pool->load(m_clock.now());
     });
 }
 
@@ -163,7 +163,7 @@
         if (found == from.waiting.end()) {
             return;
         }
-        out.push_back({ .callback = std::move(found->second), .answer = std::move(answer) });
+        out.push_back({.callback = std::move(found->second), .answer = std::move(answer)});
         from.waiting.erase(found);
     };
     for (const auto &granted : events.grants) {
--- a/src/steering/service_pool.cpp
+++ b/src/steering/service_pool.cpp
@@ -17,10 +17,8 @@
 constexpr std::uint32_t answersToJudge = 5;
 // Requests that may wait for each usable slot while no answer time is known.
 constexpr std::size_t waitersASlot = 2;
-// After ownership was gained, reported work of the former owner still counts for this long.
-constexpr milliseconds inheritedFor{ 10000 };
 // A gone upstream is remembered this long, so that older news of it is not taken for new.
-constexpr milliseconds tombstoneFor{ 60000 };
+constexpr milliseconds tombstoneFor {60000};
 
 double smooth(double former, double sample)
 {
@@ -51,9 +49,13 @@
     const bool tookWork = known.life.takesWork();
     if (newer) {
         known.report = report;
+        // It only falls: a late report must not take slots away for ever.
+        const std::uint32_t foreign = report.inFlight > known.inFlight ? report.inFlight - known.inFlight : 0;
+        known.inherited = std::min(known.inherited, foreign);
     }
     if (restarted) {
         known.inFlight = 0;
+        known.inherited = 0;
         known.answerTime = 0;
         known.answers = 0;
     }
@@ -76,6 +78,8 @@
     auto &changed = found->second;
     changed.owned = owned;
     changed.usableFrom = immediate ? now : now + m_options.handover;
+    // Work of the former owner still runs there.
+    changed.inherited = immediate ? 0 : changed.report.inFlight;
     serveWaiters(events, now);
     return events;
 }
@@ -91,7 +95,7 @@
 admission service_pool::admit(const admit_request &request, steady_time now, random_source &random)
 {
     if (now >= request.deadline) {
-        return slot_refused{ .number = request.number, .error = errc::deadlineExceeded, .retryAfter = {} };
+        return slot_refused {.number = request.number, .error = errc::deadlineExceeded, .retryAfter = {}};
     }
     // Who waits already goes first.
     if (m_waiting == 0) {
@@ -166,7 +170,7 @@
     for (const auto &[instance, each] : m_upstreams) {
         load.slots += usableSlots(each, now);
         if (each.owned) {
-            load.inFlight += heldSlots(each, now);
+            load.inFlight += each.inFlight + each.inherited;
         }
     }
     return load;
@@ -217,12 +221,6 @@
     return std::min(slots, ramped);
 }
 
-std::uint32_t service_pool::heldSlots(const upstream &candidate, steady_time now) const
-{
-    const bool inherited = candidate.usableFrom != steady_time{} && now < candidate.usableFrom + inheritedFor;
-    return inherited ? std::max(candidate.inFlight, candidate.report.inFlight) : candidate.inFlight;
-}
-
 bool service_pool::isSlow(const upstream &candidate) const
 {
     return candidate.answers >= answersToJudge && candidate.answerTime > slowFactor * m_answerTime;
@@ -246,7 +244,7 @@
     std::uint64_t ties = 1;
     for (auto &[instance, each] : m_upstreams) {
         const std::uint32_t slots = usableSlots(each, now);
-        const std::uint32_t held = heldSlots(each, now);
+        const std::uint32_t held = each.inFlight + each.inherited;
         const bool slow = isSlow(each);
         usualSlots += slow ? 0 : slots;
         if (held >= slots) {
@@ -294,15 +292,15 @@
     const auto wait = expectedWait(now);
     const auto patience = std::min<steady_time::duration>(m_options.queueLimit, request.deadline - now);
     if (current.slots == 0) {
-        return slot_refused{ .number = request.number, .error = errc::noUpstream, .retryAfter = m_options.queueLimit };
+        return slot_refused {.number = request.number, .error = errc::noUpstream, .retryAfter = m_options.queueLimit};
     }
     const bool full = m_answerTime == 0 && m_waiting >= waitersASlot * current.slots;
     if (full || wait > patience) {
-        return slot_refused{ .number = request.number, .error = errc::overloaded, .retryAfter = std::chrono::ceil<milliseconds>(wait) };
+        return slot_refused {.number = request.number, .error = errc::overloaded, .retryAfter = std::chrono::ceil<milliseconds>(wait)};
     }
-    m_waiters[request.caller].push_back({ .request = request, .giveUpAt = now + patience });
+    m_waiters[request.caller].push_back({.request = request, .giveUpAt = now + patience});
     ++m_waiting;
-    return slot_queued{};
+    return slot_queued {};
 }
 
 microseconds service_pool::expectedWait(steady_time now) const
@@ -326,7 +324,7 @@
         }
         const auto next = nextWaiter();
         if (now >= next->giveUpAt) {
-            events.refusals.push_back({ .number = next->request.number, .error = errc::overloaded, .retryAfter = {} });
+            events.refusals.push_back({.number = next->request.number, .error = errc::overloaded, .retryAfter = {}});
             continue;
         }
         events.grants.push_back(grant(*chosen, next->request.number, now));
@@ -342,7 +340,7 @@
                 return false;
             }
             const errc error = now >= each.request.deadline ? errc::deadlineExceeded : errc::overloaded;
-            events.refusals.push_back({ .number = each.request.number, .error = error, .retryAfter = std::chrono::ceil<milliseconds>(expectedWait(now)) });
+            events.refusals.push_back({.number = each.request.number, .error = error, .retryAfter = std::chrono::ceil<milliseconds>(expectedWait(now))});
             --m_waiting;
             return true;
         });
--- a/src/steering/steering_table.cpp
+++ b/src/steering/steering_table.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::uint32_t wholeRange = std::numeric_limits<std::uint32_t>::max();
 // A shift reaches its full share this long after its start, so that caches warm.
-constexpr milliseconds rampTime{ 30000 };
+constexpr milliseconds rampTime {30000};
 
 // Spreads a client block over [0, 2^32); the same on every host. Service and block both count.
 std::uint32_t blockHash(ipv4 block, std::size_t service)
@@ -233,7 +233,7 @@
             continue;
         }
         limit = std::min<std::uint64_t>(limit + rampedShare(shift, inputs.now), wholeRange);
-        made.parts.push_back({ .limit = static_cast<std::uint32_t>(limit), .destination = destination, .reason = steering_reason::shifted });
+        made.parts.push_back({.limit = static_cast<std::uint32_t>(limit), .destination = destination, .reason = steering_reason::shifted});
     }
 }
 
@@ -259,7 +259,7 @@
     for (const auto &[region, weight] : weights) {
         sum += weight;
         const std::uint64_t limit = start + (wholeRange - start) * sum / total;
-        made.parts.push_back({ .limit = static_cast<std::uint32_t>(limit), .destination = region, .reason = reason });
+        made.parts.push_back({.limit = static_cast<std::uint32_t>(limit), .destination = region, .reason = reason});
     }
 }
 
--- a/src/steering/upstream_life.cpp
+++ b/src/steering/upstream_life.cpp
@@ -130,28 +130,28 @@
     }
     switch (state) {
     case upstream_state::warming:
-        m_machine->process(announced_warming{});
+        m_machine->process(announced_warming {});
         break;
     case upstream_state::active:
-        m_machine->process(announced_active{});
+        m_machine->process(announced_active {});
         break;
     case upstream_state::draining:
-        m_machine->process(announced_draining{});
+        m_machine->process(announced_draining {});
         break;
     case upstream_state::gone:
-        m_machine->process(announced_gone{});
+        m_machine->process(announced_gone {});
         break;
     }
 }
 
 void upstream_life::onSilent()
 {
-    m_machine->process(fell_silent{});
+    m_machine->process(fell_silent {});
 }
 
 void upstream_life::onFailed()
 {
-    m_machine->process(connection_failed{});
+    m_machine->process(connection_failed {});
 }
 
 life_phase upstream_life::phase() const
--- a/src/storage/record_frame.cpp
+++ b/src/storage/record_frame.cpp
@@ -59,7 +59,7 @@
 
 bool soundFrameAfter(std::string_view content, std::size_t at)
 {
-    std::array<char, sizeof frameMark> mark{};
+    std::array<char, sizeof frameMark> mark {};
     std::memcpy(mark.data(), &frameMark, mark.size());
     const std::string_view needle(mark.data(), mark.size());
     for (auto found = content.find(needle, at); found != std::string_view::npos; found = content.find(needle, found + 1)) {
@@ -74,7 +74,7 @@
 
 std::string frameRecord(std::string_view payload)
 {
-    const frame_header header{ .length = payload.size(), .checksum = checksumOf(payload) };
+    const frame_header header {.length = payload.size(), .checksum = checksumOf(payload)};
     std::string frame(sizeof header, '\0');
     std::memcpy(frame.data(), &header, sizeof header);
     frame.append(payload);
--- a/src/storage/replica_file_store.cpp
+++ b/src/storage/replica_file_store.cpp
@@ -85,7 +85,7 @@
         if (auto done = replaceFile(m_files, snapshotFile, frameRecord(encode(snapshot).SerializeAsString())); !done) {
             return done;
         }
-        return replaceFile(m_files, logFile, kept.empty() ? std::string{} : frameRecord(encodeEntries(kept)));
+        return replaceFile(m_files, logFile, kept.empty() ? std::string {} : frameRecord(encodeEntries(kept)));
     }
 
 private:
@@ -123,7 +123,7 @@
             return errc::unsupportedFormat;
         }
         image.disk = record.disk();
-        image.hard = { .term = record.term(), .votedFor = record.voted_disk() };
+        image.hard = {.term = record.term(), .votedFor = record.voted_disk()};
         return success();
     }
 
--- a/src/tool/command_line.cpp
+++ b/src/tool/command_line.cpp
@@ -17,18 +17,18 @@
     std::string_view text;
 };
 
-constexpr std::array commands{
-    command_help{ "rules check", "FILE", "reads a rule file and names every error by line and column" },
-    command_help{ "rules plan", "FILE", "says what the rules would do to each region's headroom; needs a host" },
-    command_help{ "rules submit", "FILE", "submits a rule file; the same file again gets the same yes" },
-    command_help{ "rules show", "", "prints the rules in force" },
-    command_help{ "rules diff", "FILE", "compares the rules in force with a file; exit code 1 when they differ" },
-    command_help{ "rules history", "", "lists who had which version accepted, and when" },
-    command_help{ "status", "", "says which host has which version in force, and since when" },
-    command_help{ "explain", "", "says why a client goes where it goes (--service, --client)" },
-    command_help{ "drain", "region|failure-domain|host|upstream NAME", "adds a drain rule (--reason, --from, --until)" },
-    command_help{ "undrain", "region|failure-domain|host|upstream NAME", "removes the drain rules of a target" },
-    command_help{ "settings check", "FILE", "reads a daemon's settings and names every error" },
+constexpr std::array commands {
+    command_help {"rules check", "FILE", "reads a rule file and names every error by line and column"},
+    command_help {"rules plan", "FILE", "says what the rules would do to each region's headroom; needs a host"},
+    command_help {"rules submit", "FILE", "submits a rule file; the same file again gets the same yes"},
+    command_help {"rules show", "", "prints the rules in force"},
+    command_help {"rules diff", "FILE", "compares the rules in force with a file; exit code 1 when they differ"},
+    command_help {"rules history", "", "lists who had which version accepted, and when"},
+    command_help {"status", "", "says which host has which version in force, and since when"},
+    command_help {"explain", "", "says why a client goes where it goes (--service, --client)"},
+    command_help {"drain", "region|failure-domain|host|upstream NAME", "adds a drain rule (--reason, --from, --until)"},
+    command_help {"undrain", "region|failure-domain|host|upstream NAME", "removes the drain rules of a target"},
+    command_help {"settings check", "FILE", "reads a daemon's settings and names every error"},
 };
 
 const command_help *findCommand(const std::vector<std::string> &words)
@@ -85,7 +85,7 @@
     add("wait", "submit: return once all reachable hosts have it in force", cxxopts::value<bool>()->default_value("false"));
     add("help", "show this help");
     add("words", "", cxxopts::value<std::vector<std::string>>());
-    options.parse_positional({ "words" });
+    options.parse_positional({"words"});
     return options;
 }
 
@@ -111,10 +111,10 @@
         .hosts = splitHosts(parsed["hosts"].as<std::string>()),
         .timeout = milliseconds(parsed["timeout-ms"].as<int>()),
         .json = parsed["output"].as<std::string>() == "json",
-        .tls = { .certificate = parsed["certificate"].as<std::string>(),
-                 .key = parsed["key"].as<std::string>(),
-                 .authority = parsed["authority"].as<std::string>(),
-                 .plainText = parsed["plain-text"].as<bool>() },
+        .tls = {.certificate = parsed["certificate"].as<std::string>(),
+                .key = parsed["key"].as<std::string>(),
+                .authority = parsed["authority"].as<std::string>(),
+                .plainText = parsed["plain-text"].as<bool>()},
         .operatorName = parsed["operator"].as<std::string>(),
         .settingsFile = parsed["settings"].as<std::string>(),
         .service = parsed["service"].as<std::string>(),
--- a/src/tool/operator_client.cpp
+++ b/src/tool/operator_client.cpp
@@ -1,6 +1,7 @@
 #include "tool/operator_client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -11,7 +12,7 @@
 namespace
 {
 
-constexpr milliseconds pollEvery{ 100 };
+constexpr milliseconds pollEvery {100};
 
 // A result that one thread waits for.
 template <typename T> class awaited
@@ -87,9 +88,23 @@
 
 result<submit_result> operator_client::submit(const rules_change &change)
 {
-    return askInTurn<submit_result>(
-        [&](const std::string &host, milliseconds timeout, peer_done<submit_result> done) { m_peers.submit(host, change, false, timeout, std::move(done)); },
-        [](const submit_result &answer) { return answer.error != errc::notLeader && answer.error != errc::noQuorum && answer.error != errc::notAVoter; });
+    // Once one host may have passed the change on, no later refusal proves that it was not accepted.
+    auto unsure = std::make_shared<std::atomic<bool>>(false);
+    auto answer = askInTurn<submit_result>(
+        [&](const std::string &host, milliseconds timeout, const peer_done<submit_result> &done) {
+            m_peers.submit(host, change, false, timeout, [unsure, done](const result<submit_result> &reply) {
+                const bool lost = !reply && reply.error() != errc::unreachable;
+                if (lost || (reply && reply.value().error == errc::noQuorum)) {
+                    *unsure = true;
+                }
+                done(reply);
+            });
+        },
+        [](const submit_result &reply) { return reply.error != errc::notLeader && reply.error != errc::noQuorum && reply.error != errc::notAVoter; });
+    if (answer && answer.value().error == errc::notLeader && *unsure) {
+        answer.value().error = errc::noQuorum;
+    }
+    return answer;
 }
 
 result<std::optional<ledger_state>> operator_client::rules()
--- a/src/tool/output.cpp
+++ b/src/tool/output.cpp
@@ -21,24 +21,24 @@
 
 std::string_view textOf(member_state state)
 {
-    constexpr std::array names{ "alive", "suspect", "leaving", "dead" };
+    constexpr std::array names {"alive", "suspect", "leaving", "dead"};
     return names.at(static_cast<std::size_t>(state));
 }
 
 json::object hostObject(const host_status &host)
 {
     return {
-        { "host", host.self.host.view() },
-        { "region", host.self.region.view() },
-        { "failureDomain", host.self.domain.view() },
-        { "state", textOf(host.self.state) },
-        { "ruleVersion", host.ruleVersion },
-        { "inForceSinceMs", host.inForceSince },
-        { "rulesKnown", host.rulesKnown },
-        { "replicaRole", host.replicaRole },
-        { "leader", host.leader },
-        { "term", host.term },
-        { "cutOff", host.cutOff },
+        {"host", host.self.host.view()},
+        {"region", host.self.region.view()},
+        {"failureDomain", host.self.domain.view()},
+        {"state", textOf(host.self.state)},
+        {"ruleVersion", host.ruleVersion},
+        {"inForceSinceMs", host.inForceSince},
+        {"rulesKnown", host.rulesKnown},
+        {"replicaRole", host.replicaRole},
+        {"leader", host.leader},
+        {"term", host.term},
+        {"cutOff", host.cutOff},
     };
 }
 
@@ -56,9 +56,9 @@
     }
     constexpr wall_ms milliASecond = 1000;
     const auto whole = static_cast<std::time_t>(time / milliASecond);
-    std::tm parts{};
+    std::tm parts {};
     gmtime_r(&whole, &parts);
-    std::array<char, 32> text{};
+    std::array<char, 32> text {};
     std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
     return text.data();
 }
@@ -73,7 +73,7 @@
 {
     const std::string message = make_error_code(error).message();
     if (m_json) {
-        printJson(m_stream, json::object{ { "error", errorCode(error) }, { "message", message }, { "detail", detail } });
+        printJson(m_stream, json::object {{"error", errorCode(error)}, {"message", message}, {"detail", detail}});
         return;
     }
     m_stream << errorCode(error) << ": " << message << (detail.empty() ? "" : ": ") << detail << "\n";
@@ -84,19 +84,19 @@
     json::array list;
     for (const auto &error : errors) {
         if (m_json) {
-            list.push_back(json::object{
-                { "file", error.file },
-                { "line", error.line },
-                { "column", error.column },
-                { "expected", error.expected },
-                { "found", error.found },
+            list.push_back(json::object {
+                {"file", error.file},
+                {"line", error.line},
+                {"column", error.column},
+                {"expected", error.expected},
+                {"found", error.found},
             });
         } else {
             m_stream << error.text() << "\n";
         }
     }
     if (m_json) {
-        printJson(m_stream, json::object{ { "error", errorCode(errc::rulesInvalid) }, { "errors", std::move(list) } });
+        printJson(m_stream, json::object {{"error", errorCode(errc::rulesInvalid)}, {"errors", std::move(list)}});
     }
 }
 
@@ -105,20 +105,20 @@
     json::array list;
     for (const auto &error : errors) {
         if (m_json) {
-            list.push_back(json::object{ { "file", error.file }, { "line", error.line }, { "key", error.key }, { "expected", error.expected } });
+            list.push_back(json::object {{"file", error.file}, {"line", error.line}, {"key", error.key}, {"expected", error.expected}});
         } else {
             m_stream << error.text() << "\n";
         }
     }
     if (m_json) {
-        printJson(m_stream, json::object{ { "error", errorCode(errc::settingsInvalid) }, { "errors", std::move(list) } });
+        printJson(m_stream, json::object {{"error", errorCode(errc::settingsInvalid)}, {"errors", std::move(list)}});
     }
 }
 
 void output::checked(std::string_view file, std::uint64_t version)
 {
     if (m_json) {
-        printJson(m_stream, json::object{ { "file", file }, { "version", version }, { "valid", true } });
+        printJson(m_stream, json::object {{"file", file}, {"version", version}, {"valid", true}});
     } else if (version > 0) {
         m_stream << file << ": version " << version << " is valid\n";
     } else {
@@ -137,9 +137,8 @@
         return;
     }
     if (m_json) {
-        printJson(
-            m_stream,
-            json::object{ { "accepted", true }, { "version", result.version }, { "digest", result.winner.hex() }, { "operator", result.winnerOperator } });
+        printJson(m_stream,
+                  json::object {{"accepted", true}, {"version", result.version}, {"digest", result.winner.hex()}, {"operator", result.winnerOperator}});
         return;
     }
     m_stream << "accepted: version " << result.version << ", digest " << result.winner.hex() << ", by " << result.winnerOperator << "\n";
@@ -148,8 +147,7 @@
 void output::rules(const ledger_state &state)
 {
     if (m_json) {
-        printJson(m_stream,
-                  json::object{ { "version", state.version }, { "digest", state.content.hex() }, { "operator", state.operatorName }, { "text", state.text } });
+        printJson(m_stream, json::object {{"version", state.version}, {"digest", state.content.hex()}, {"operator", state.operatorName}, {"text", state.text}});
         return;
     }
     m_stream << state.text;
@@ -160,11 +158,11 @@
     json::array list;
     for (const auto &record : state.history) {
         if (m_json) {
-            list.push_back(json::object{
-                { "version", record.version },
-                { "digest", record.content.hex() },
-                { "operator", record.operatorName },
-                { "acceptedAtMs", record.acceptedAt },
+            list.push_back(json::object {
+                {"version", record.version},
+                {"digest", record.content.hex()},
+                {"operator", record.operatorName},
+                {"acceptedAtMs", record.acceptedAt},
             });
         } else {
             m_stream << std::setw(numberWidth) << record.version << "  " << timeText(record.acceptedAt) << "  " << record.content.hex() << "  "
@@ -181,7 +179,7 @@
     json::array list;
     for (const auto &change : changes) {
         if (m_json) {
-            list.push_back(json::object{ { "change", change.added ? "added" : "removed" }, { "line", change.line } });
+            list.push_back(json::object {{"change", change.added ? "added" : "removed"}, {"line", change.line}});
         } else {
             m_stream << (change.added ? "+ " : "- ") << change.line << "\n";
         }
@@ -200,9 +198,9 @@
         }
         json::array silent;
         for (const auto &member : status.silent) {
-            silent.push_back(json::object{ { "host", member.host.view() }, { "state", textOf(member.state) } });
+            silent.push_back(json::object {{"host", member.host.view()}, {"state", textOf(member.state)}});
         }
-        printJson(m_stream, json::object{ { "hosts", std::move(hosts) }, { "silent", std::move(silent) } });
+        printJson(m_stream, json::object {{"hosts", std::move(hosts)}, {"silent", std::move(silent)}});
         return;
     }
     m_stream << std::left << std::setw(hostWidth) << "HOST" << std::setw(wideWidth) << "FAILURE DOMAIN" << std::setw(numberWidth) << "STATE"
@@ -224,17 +222,17 @@
     if (m_json) {
         json::array entries;
         for (const auto &entry : explanation.entries) {
-            entries.push_back(json::object{ { "host", entry.host.view() }, { "region", entry.region.view() }, { "address", entry.httpAddress } });
+            entries.push_back(json::object {{"host", entry.host.view()}, {"region", entry.region.view()}, {"address", entry.httpAddress}});
         }
         printJson(m_stream,
-                  json::object{
-                      { "ruleVersion", explanation.ruleVersion },
-                      { "home", explanation.home.view() },
-                      { "destination", explanation.destination.view() },
-                      { "reason", explanation.reason },
-                      { "epoch", explanation.epoch },
-                      { "entries", std::move(entries) },
-                      { "rules", json::value_from(explanation.rules) },
+                  json::object {
+                      {"ruleVersion", explanation.ruleVersion},
+                      {"home", explanation.home.view()},
+                      {"destination", explanation.destination.view()},
+                      {"reason", explanation.reason},
+                      {"epoch", explanation.epoch},
+                      {"entries", std::move(entries)},
+                      {"rules", json::value_from(explanation.rules)},
                   });
         return;
     }
@@ -260,13 +258,13 @@
     for (const auto &load : loads) {
         const double headroom = load.slots - load.busyPlanned;
         if (m_json) {
-            list.push_back(json::object{
-                { "service", load.service.view() },
-                { "region", load.region.view() },
-                { "slots", load.slots },
-                { "busyNow", load.busyNow },
-                { "busyPlanned", load.busyPlanned },
-                { "headroomPlanned", headroom },
+            list.push_back(json::object {
+                {"service", load.service.view()},
+                {"region", load.region.view()},
+                {"slots", load.slots},
+                {"busyNow", load.busyNow},
+                {"busyPlanned", load.busyPlanned},
+                {"headroomPlanned", headroom},
             });
         } else {
             m_stream << std::left << std::setw(hostWidth) << load.service.view() << std::setw(hostWidth) << load.region.view() << std::right
--- a/src/tool/tool.cpp
+++ b/src/tool/tool.cpp
@@ -31,7 +31,7 @@
 
 std::optional<drain_target> targetOf(std::string_view word)
 {
-    for (const auto target : { drain_target::region, drain_target::failureDomain, drain_target::host, drain_target::upstream }) {
+    for (const auto target : {drain_target::region, drain_target::failureDomain, drain_target::host, drain_target::upstream}) {
         if (keywordOf(target) == word) {
             return target;
         }
@@ -178,7 +178,7 @@
         change.version = version;
         change.text = text;
         change.operatorName = m_command.operatorName;
-        change.content = digestOf({ text });
+        change.content = digestOf({text});
         return m_client->submit(change);
     }
 
@@ -240,7 +240,7 @@
         if (!state) {
             return failed(state.error());
         }
-        const ledger_state shown = state.value().value_or(ledger_state{});
+        const ledger_state shown = state.value().value_or(ledger_state {});
         if (history) {
             m_out.history(shown);
         } else {
@@ -258,7 +258,7 @@
         if (!state) {
             return failed(state.error());
         }
-        const auto changes = diffLines(state.value().value_or(ledger_state{}).text, text);
+        const auto changes = diffLines(state.value().value_or(ledger_state {}).text, text);
         m_out.diff(changes);
         return changes.empty() ? exit_code::ok : exit_code::refused;
     }
@@ -275,14 +275,14 @@
         }
         std::map<service_name, std::vector<region_demand>> present;
         for (const auto &load : loads.value()) {
-            present[load.service].push_back({ .region = load.region, .busy = static_cast<double>(load.load.inFlight), .slots = load.load.slots });
+            present[load.service].push_back({.region = load.region, .busy = static_cast<double>(load.load.inFlight), .slots = load.load.slots});
         }
         std::vector<planned_load> planned;
         for (const auto &[service, demands] : present) {
             const auto then = planDemand(*rules, service, demands, m_clock.wallNow());
             for (std::size_t i = 0; i < then.size(); ++i) {
                 planned.push_back(
-                    { .service = service, .region = then[i].region, .slots = then[i].slots, .busyNow = demands[i].busy, .busyPlanned = then[i].busy });
+                    {.service = service, .region = then[i].region, .slots = then[i].slots, .busyNow = demands[i].busy, .busyPlanned = then[i].busy});
             }
         }
         m_out.plan(planned);
@@ -301,7 +301,7 @@
             if (!state) {
                 return failed(state.error());
             }
-            const auto current = state.value().value_or(ledger_state{});
+            const auto current = state.value().value_or(ledger_state {});
             const std::uint64_t version = current.version + 1;
             const std::string base = current.version == 0 ? "version 1\n" : withVersion(current.text, version);
             const std::string text = add ? withRule(base, drainLine(*target)) : withoutDrain(base, *target, m_command.words[2]);
--- a/tests/fakes/manual_clock.h
+++ b/tests/fakes/manual_clock.h
@@ -26,8 +26,8 @@
 
 private:
     static constexpr wall_ms startWall = 1'790'000'000'000;
-    steady_time m_now{ seconds(1000) };
-    std::chrono::microseconds m_sinceStart{};
+    steady_time m_now {seconds(1000)};
+    std::chrono::microseconds m_sinceStart {};
     wall_ms m_wall = startWall;
 };
 
--- a/tests/fakes/memory_files.cpp
+++ b/tests/fakes/memory_files.cpp
@@ -25,7 +25,7 @@
         return done;
     }
     // A new file, as O_TRUNC leaves none of the old content sure to survive.
-    m_files[std::string(name)] = std::make_shared<file>(file{ .content = std::string(content), .synced = {} });
+    m_files[std::string(name)] = std::make_shared<file>(file {.content = std::string(content), .synced = {}});
     return success();
 }
 
--- a/tests/fakes/replica_cluster.cpp
+++ b/tests/fakes/replica_cluster.cpp
@@ -6,9 +6,9 @@
 namespace
 {
 
-constexpr milliseconds stepTime{ 10 };
-constexpr milliseconds electionTime{ 100 };
-constexpr milliseconds heartbeatTime{ 20 };
+constexpr milliseconds stepTime {10};
+constexpr milliseconds electionTime {100};
+constexpr milliseconds heartbeatTime {20};
 constexpr std::size_t snapshotAfter = 8;
 constexpr unsigned percent = 100;
 
@@ -88,7 +88,7 @@
 
 void replica_cluster::run(milliseconds time)
 {
-    for (milliseconds passed{ 0 }; passed < time; passed += stepTime) {
+    for (milliseconds passed {0}; passed < time; passed += stepTime) {
         step();
     }
 }
@@ -98,7 +98,7 @@
     if (!up(host)) {
         return;
     }
-    m_nodes[host]->engine->submit(change, [this, change](const submit_result &result) { verdicts.push_back({ .change = change, .result = result }); });
+    m_nodes[host]->engine->submit(change, [this, change](const submit_result &result) { verdicts.push_back({.change = change, .result = result}); });
     m_nodes[host]->engine->carryOut();
 }
 
@@ -128,7 +128,7 @@
     options.host = host_name("h" + std::to_string(host));
     options.address = addressOf(host);
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-        options.bootstrap.push_back({ .host = host_name("h" + std::to_string(i)), .address = addressOf(i) });
+        options.bootstrap.push_back({.host = host_name("h" + std::to_string(i)), .address = addressOf(i)});
     }
     options.electionTimeout = electionTime;
     options.heartbeat = heartbeatTime;
@@ -156,7 +156,7 @@
     if (cutOff) {
         m_cuts.emplace(from, to);
     } else {
-        m_cuts.erase({ from, to });
+        m_cuts.erase({from, to});
     }
 }
 
@@ -288,7 +288,7 @@
 {
     const unsigned copies = m_random.below(percent) < m_repeat ? 2 : 1;
     for (unsigned copy = 0; copy < copies; ++copy) {
-        if (m_cuts.contains({ from, to }) || m_random.below(percent) < m_loss) {
+        if (m_cuts.contains({from, to}) || m_random.below(percent) < m_loss) {
             continue;
         }
         milliseconds late = stepTime;
@@ -296,7 +296,7 @@
             constexpr std::uint64_t longest = 300;
             late += milliseconds(m_random.below(longest));
         }
-        m_network.emplace(m_clock.now() + late, envelope{ .to = to, .life = m_nodes[to]->life, .arrival = arrival });
+        m_network.emplace(m_clock.now() + late, envelope {.to = to, .life = m_nodes[to]->life, .arrival = arrival});
     }
 }
 
@@ -311,7 +311,7 @@
     change.version = version;
     change.text = "version " + std::to_string(version) + "\n# " + std::string(note) + "\n";
     change.operatorName = std::string(operatorName);
-    change.content = digestOf({ change.text });
+    change.content = digestOf({change.text});
     return change;
 }
 
--- a/tests/fakes/upstream_fake.cpp
+++ b/tests/fakes/upstream_fake.cpp
@@ -23,7 +23,7 @@
 tcp::endpoint endpointOf(const std::string &address)
 {
     const auto colon = address.rfind(':');
-    return { asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) };
+    return {asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
 }
 
 } // namespace
@@ -40,8 +40,8 @@
     asio::io_context context;
     tcp::acceptor acceptor;
     std::uint16_t port;
-    std::atomic<bool> ended{ false };
-    std::atomic<bool> muted{ false };
+    std::atomic<bool> ended {false};
+    std::atomic<bool> muted {false};
     std::mutex lock;
     std::condition_variable wake;
     std::string announced = "active";
@@ -174,7 +174,7 @@
             }
             if (!state->muted && !state->options.announceTo.empty()) {
                 const auto &hosts = state->options.announceTo;
-                const auto answer = plainCall(hosts[turn % hosts.size()], "POST", "/v1/announce", { { "Content-Type", "application/json" } }, body,
+                const auto answer = plainCall(hosts[turn % hosts.size()], "POST", "/v1/announce", {{"Content-Type", "application/json"}}, body,
                                               std::chrono::milliseconds(500));
                 turn += answer.status == 200 ? 0 : 1;
             }
--- a/tests/fakes/upstream_fake.h
+++ b/tests/fakes/upstream_fake.h
@@ -18,10 +18,10 @@
     std::string instance = "up-1";
     std::string failureDomain = "gent-a";
     std::uint32_t slots = 4;
-    std::chrono::milliseconds workTime{ 5 };
+    std::chrono::milliseconds workTime {5};
     // HTTP addresses of entry hosts, tried in turn.
     std::vector<std::string> announceTo;
-    std::chrono::milliseconds announceEvery{ 300 };
+    std::chrono::milliseconds announceEvery {300};
     // A request whose body holds this text ends the upstream.
     std::string poisonText;
     // An answer whose request body holds this text is cut in half.
--- a/tests/replica/replica_engine_test.cpp
+++ b/tests/replica/replica_engine_test.cpp
@@ -210,21 +210,20 @@
 
 TEST_CASE("replica: a snapshot that arrives late does not drop entries acknowledged since", "[replica]")
 {
-    const replica_id leader{ .host = host_name("l"), .disk = 1, .address = "l:1" };
-    const replica_id self{ .host = host_name("f"), .disk = 2, .address = "f:1" };
+    const replica_id leader {.host = host_name("l"), .disk = 1, .address = "l:1"};
+    const replica_id self {.host = host_name("f"), .disk = 2, .address = "f:1"};
     seeded_random_source random(firstSeed);
     manual_clock clock;
-    replica_image image{ .disk = 2,
-                         .hard = { .term = 1 },
-                         .snapshot = { .index = 1, .term = 1, .config = { .voters = { leader, self }, .learners = {} }, .state = {} } };
-    replica_core core({ .self = self }, image, random, clock.now());
-    replica_message append{ .kind = replica_message_kind::appendRequest, .from = leader, .to = self, .term = 1, .lastIndex = 1, .lastTerm = 1 };
-    append.entries = { { .index = 2, .term = 1, .body = barrier_entry{} }, { .index = 3, .term = 1, .body = barrier_entry{} } };
+    replica_image image {
+        .disk = 2, .hard = {.term = 1}, .snapshot = {.index = 1, .term = 1, .config = {.voters = {leader, self}, .learners = {}}, .state = {}}};
+    replica_core core({.self = self}, image, random, clock.now());
+    replica_message append {.kind = replica_message_kind::appendRequest, .from = leader, .to = self, .term = 1, .lastIndex = 1, .lastTerm = 1};
+    append.entries = {{.index = 2, .term = 1, .body = barrier_entry {}}, {.index = 3, .term = 1, .body = barrier_entry {}}};
     core.step(append, clock.now());
     REQUIRE(core.takeOutput().messages.back().lastIndex == 3);
     core.persisted();
-    replica_message late{ .kind = replica_message_kind::snapshotRequest, .from = leader, .to = self, .term = 1 };
-    late.snapshot = replica_snapshot{ .index = 2, .term = 1, .config = image.snapshot.config, .state = {} };
+    replica_message late {.kind = replica_message_kind::snapshotRequest, .from = leader, .to = self, .term = 1};
+    late.snapshot = replica_snapshot {.index = 2, .term = 1, .config = image.snapshot.config, .state = {}};
     core.step(late, clock.now());
     CHECK(core.lastIndex() == 3);
     CHECK(core.commitIndex() == 2);
--- a/tests/storage/replica_file_store_test.cpp
+++ b/tests/storage/replica_file_store_test.cpp
@@ -13,13 +13,13 @@
 
 log_entry entryOf(log_index index, log_term term)
 {
-    return { .index = index, .term = term, .body = changeOf(index, "note " + std::to_string(term), "ann") };
+    return {.index = index, .term = term, .body = changeOf(index, "note " + std::to_string(term), "ann")};
 }
 
 replica_snapshot snapshotOf(log_index index, log_term term)
 {
-    replica_snapshot snapshot{ .index = index, .term = term, .config = {}, .state = {} };
-    snapshot.config.voters.push_back({ .host = host_name("a"), .disk = 7, .address = "a:1" });
+    replica_snapshot snapshot {.index = index, .term = term, .config = {}, .state = {}};
+    snapshot.config.voters.push_back({.host = host_name("a"), .disk = 7, .address = "a:1"});
     snapshot.state.version = index;
     return snapshot;
 }
@@ -32,11 +32,11 @@
         done += result ? 1 : 0;
         return result.has_value();
     };
-    const std::vector<log_entry> first{ entryOf(2, 1), entryOf(3, 1) };
-    const std::vector<log_entry> second{ entryOf(3, 2), entryOf(4, 2) };
-    (void)(step(store.saveIdentity(7, { .term = 1, .votedFor = 7 })) && step(store.saveSnapshot(snapshotOf(1, 1), {})) && step(store.append(first))
-           && step(store.append(second)) && step(store.saveIdentity(7, { .term = 2, .votedFor = 0 }))
-           && step(store.saveSnapshot(snapshotOf(3, 2), std::vector<log_entry>{ entryOf(4, 2) })));
+    const std::vector<log_entry> first {entryOf(2, 1), entryOf(3, 1)};
+    const std::vector<log_entry> second {entryOf(3, 2), entryOf(4, 2)};
+    (void)(step(store.saveIdentity(7, {.term = 1, .votedFor = 7})) && step(store.saveSnapshot(snapshotOf(1, 1), {})) && step(store.append(first))
+           && step(store.append(second)) && step(store.saveIdentity(7, {.term = 2, .votedFor = 0}))
+           && step(store.saveSnapshot(snapshotOf(3, 2), std::vector<log_entry> {entryOf(4, 2)})));
     return done;
 }
 
@@ -61,7 +61,7 @@
     const auto operations = counted.operations();
     REQUIRE(operations > 10);
     for (std::uint64_t failing = 1; failing <= operations + 1; ++failing) {
-        for (std::uint64_t keep : { 0ULL, 1ULL, 13ULL, 1'000'003ULL }) {
+        for (std::uint64_t keep : {0ULL, 1ULL, 13ULL, 1'000'003ULL}) {
             memory_files files;
             files.failAfter(failing, errc::ioFailed);
             const int done = writeLife(*makeReplicaFileStore(files));
@@ -79,10 +79,10 @@
     memory_files files;
     const auto store = makeReplicaFileStore(files);
     REQUIRE(store->saveSnapshot(snapshotOf(1, 1), {}));
-    REQUIRE(store->saveIdentity(7, { .term = 1, .votedFor = 0 }));
-    REQUIRE(store->append(std::vector<log_entry>{ entryOf(2, 1) }));
+    REQUIRE(store->saveIdentity(7, {.term = 1, .votedFor = 0}));
+    REQUIRE(store->append(std::vector<log_entry> {entryOf(2, 1)}));
     const auto whole = files.read("log").value().size();
-    REQUIRE(store->append(std::vector<log_entry>{ entryOf(3, 1) }));
+    REQUIRE(store->append(std::vector<log_entry> {entryOf(3, 1)}));
     const auto longer = files.read("log").value().size();
 
     SECTION("torn")
@@ -111,9 +111,9 @@
 {
     memory_files files;
     const auto store = makeReplicaFileStore(files);
-    REQUIRE(store->saveIdentity(7, { .term = 2, .votedFor = 0 }));
-    REQUIRE(store->append(std::vector<log_entry>{ entryOf(2, 1), entryOf(3, 1), entryOf(4, 1) }));
-    REQUIRE(store->append(std::vector<log_entry>{ entryOf(2, 2) }));
+    REQUIRE(store->saveIdentity(7, {.term = 2, .votedFor = 0}));
+    REQUIRE(store->append(std::vector<log_entry> {entryOf(2, 1), entryOf(3, 1), entryOf(4, 1)}));
+    REQUIRE(store->append(std::vector<log_entry> {entryOf(2, 2)}));
     // The crash falls between the new snapshot and the new log.
     const auto log = files.read("log").value();
     REQUIRE(store->saveSnapshot(snapshotOf(2, 2), {}));
