--- a/src/daemon/fleet_agent.cpp
+++ b/src/daemon/fleet_agent.cpp
@@ -281,9 +281,15 @@
 {
     const auto rules = m_parts.rules.rules();
     const wall_ms wallNow = m_parts.clock.wallNow();
+    const auto members = m_parts.members.members();
+    // Upstreams of one failure domain share their candidates.
+    std::map<domain_name, std::vector<host_name>> candidates;
     m_parts.gate.place([&](const upstream_report &report) -> request_gate::placement {
-        const auto owner = ownerOfUpstream(report);
-        const auto members = m_parts.members.members();
+        auto known = candidates.find(report.domain);
+        if (known == candidates.end()) {
+            known = candidates.emplace(report.domain, candidatesFor(report.domain)).first;
+        }
+        const auto owner = ownerOf(report.instance.view(), known->second);
         const bool shared
             = std::ranges::any_of(members, [&](const fleet_member &member) { return member.host != m_parts.self.host && member.domain == report.domain; });
         const bool drained = rules
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -181,15 +181,22 @@
     // Completes when the caller has closed its side; never when it pipelines.
     asio::awaitable<void> callerLeft()
     {
-        const auto [failed] = co_await m_stream.socket().async_wait(tcp::socket::wait_read, noThrow);
-        if (failed) {
-            co_return;
-        }
         error_code error;
-        char byte = 0;
-        const auto count = m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        const bool left = error || count == 0;
-        if (!left) {
+        m_stream.socket().non_blocking(true, error);
+        while (true) {
+            const auto [failed] = co_await m_stream.socket().async_wait(tcp::socket::wait_read, noThrow);
+            if (failed) {
+                co_return;
+            }
+            char byte = 0;
+            const auto count = m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+            if (error == asio::error::would_block) {
+                // Woken for bytes that were read before: a blocking peek would hold up the whole strand.
+                continue;
+            }
+            if (error || count == 0) {
+                co_return;
+            }
             asio::steady_timer never(co_await asio::this_coro::executor, steady_time::max());
             co_await never.async_wait(noThrow);
         }
@@ -228,7 +235,7 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    const http_server_options m_options;
+    http_server_options m_options;
     http_handler &m_handler;
     std::shared_ptr<server_state> m_state;
     std::uint32_t m_caller = 0;
--- a/src/steering/load_view.cpp
+++ b/src/steering/load_view.cpp
@@ -75,7 +75,7 @@
         }
     });
     if (!chosen.empty()) {
-        std::ranges::rotate(chosen, chosen.begin() + static_cast<std::ptrdiff_t>(turn % chosen.size()));
+        std::rotate(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(turn % chosen.size()), chosen.end());
     }
     std::ranges::stable_sort(chosen, std::ranges::greater {}, &load_candidate::free);
     return chosen;
@@ -99,6 +99,7 @@
         }
     });
     std::vector<region_load> loads;
+    loads.reserve(sums.size());
     for (auto &[region, sum] : sums) {
         loads.push_back(std::move(sum));
     }
--- a/src/steering/request_gate.cpp
+++ b/src/steering/request_gate.cpp
@@ -86,7 +86,9 @@
         decisions.push_back({.report = std::move(report), .where = where});
     }
     std::vector<delivery> deliveries;
-    for (const auto &[report, where] : decisions) {
+    for (const auto &each : decisions) {
+        const auto &report = each.report;
+        const auto &where = each.where;
         m_entries.with(shardOf(report.service), [&](entries &all) {
             auto &chosen = entryOf(all, report.service);
             chosen.pool->setDrained(report.instance, where.drained);
