rpc: a client outlives its calls

The library's alternative callback queue is counted by its channels; the last channel was let go by a call's own state, on one of the queue's threads, which then joined itself and freed the queue under its feet ("assertion failed: prior > 0"). The operators' tool makes and drops clients in the same way, so an accepted submit could have ended in an abort.

Ruled out: TLS (it happens over plain text to a closed port), the test's own locals (they outlive the callback; the abort is in the library).

Change: calls borrow the channel; the client cancels what is under way and waits for it before it lets its channels go. A forward's canceller holds its context weakly.

--- a/src/rpc/grpc_peer_client.cpp
+++ b/src/rpc/grpc_peer_client.cpp
@@ -1,6 +1,7 @@
 #include "codec/peer_codec.h"
 #include "core/digest.h"
 #include "core/shards.h"
+#include "live_calls.h"
 #include "rpc/peer_client.h"
 #include "tls_credentials.h"
 
@@ -24,15 +25,32 @@
 // A peer's channel and the stub on it.
 struct connection {
     std::shared_ptr<grpc::Channel> channel;
-    std::shared_ptr<schema::peer::Stub> stub;
+    std::unique_ptr<schema::peer::Stub> stub;
 };
 
 using connection_map = std::unordered_map<std::string, connection>;
 
-// One call under way; lives until its callback has run.
+// One call under way; lives until its callback has run. It borrows its channel from the client.
 template <typename Request, typename Reply> struct call_state {
-    connection peer;
-    std::shared_ptr<grpc::ClientContext> context = std::make_shared<grpc::ClientContext>();
+    explicit call_state(live_calls &live)
+        : calls(live)
+        , context(std::make_shared<grpc::ClientContext>())
+        , id(calls.add(context))
+    {
+    }
+
+    ~call_state()
+    {
+        context.reset();
+        calls.remove(id);
+    }
+
+    call_state(const call_state &) = delete;
+    call_state &operator=(const call_state &) = delete;
+
+    live_calls &calls;
+    std::shared_ptr<grpc::ClientContext> context;
+    live_calls::call_id id;
     Request request;
     Reply reply;
 };
@@ -60,6 +78,14 @@
     {
     }
 
+    ~grpc_peer_client() override
+    {
+        m_calls.drain();
+    }
+
+    grpc_peer_client(const grpc_peer_client &) = delete;
+    grpc_peer_client &operator=(const grpc_peer_client &) = delete;
+
     void exchange(const std::string &address, const exchange_message &message, milliseconds timeout, peer_done<exchange_message> done) override
     {
         call<schema::exchange_reply>("exchange", address, encode(message), timeout, &stub_async::exchange,
@@ -98,9 +124,14 @@
 
     call_canceller forward(const std::string &address, const forward_message &message, peer_done<forward_result> done) override
     {
-        const auto context = call<schema::forward_reply>("", address, encode(message), message.timeout, &stub_async::forward,
-                                                         [done = std::move(done)](const result<schema::forward_reply> &reply) { finish(reply, done); });
-        return [context] { context->TryCancel(); };
+        const std::weak_ptr context
+            = call<schema::forward_reply>("", address, encode(message), message.timeout, &stub_async::forward,
+                                          [done = std::move(done)](const result<schema::forward_reply> &reply) { finish(reply, done); });
+        return [context] {
+            if (const auto running = context.lock()) {
+                running->TryCancel();
+            }
+        };
     }
 
     void claim(const std::string &address, const claim_request &request, milliseconds timeout, peer_done<claim_reply> done) override
@@ -181,22 +212,21 @@
     }
 
     template <typename Reply, typename Request, typename Done>
-    std::shared_ptr<grpc::ClientContext> call(std::string_view mechanism, const std::string &address, Request request, milliseconds timeout,
-                                              void (stub_async::*method)(grpc::ClientContext *, const Request *, Reply *, std::function<void(grpc::Status)>),
-                                              Done done)
+    std::weak_ptr<grpc::ClientContext> call(std::string_view mechanism, const std::string &address, Request request, milliseconds timeout,
+                                            void (stub_async::*method)(grpc::ClientContext *, const Request *, Reply *, std::function<void(grpc::Status)>),
+                                            Done done)
     {
-        auto state = std::make_shared<call_state<Request, Reply>>();
-        state->peer = connectionTo(address);
+        auto state = std::make_shared<call_state<Request, Reply>>(m_calls);
         state->request = std::move(request);
         state->context->set_deadline(std::chrono::system_clock::now() + timeout);
         if (m_meter != nullptr && !mechanism.empty()) {
             m_meter->onSent(mechanism, state->request.ByteSizeLong());
         }
-        auto context = state->context;
-        stub_async *async = state->peer.stub->async();
-        const auto *sent = &state->request;
+        const std::weak_ptr context = state->context;
+        stub_async *async = stubFor(address).async();
+        const auto &running = *state;
         auto *received = &state->reply;
-        (async->*method)(context.get(), sent, received, [state = std::move(state), done = std::move(done)](const grpc::Status &status) {
+        (async->*method)(running.context.get(), &running.request, received, [state = std::move(state), done = std::move(done)](const grpc::Status &status) {
             if (status.ok()) {
                 done(result<Reply>(state->reply));
             } else {
@@ -206,9 +236,10 @@
         return context;
     }
 
-    connection connectionTo(const std::string &address)
+    // Connections are kept as long as the client.
+    schema::peer::Stub &stubFor(const std::string &address)
     {
-        return m_connections.with(stableHash(address), [&](connection_map &all) {
+        return m_connections.with(stableHash(address), [&](connection_map &all) -> schema::peer::Stub & {
             auto &known = all[address];
             if (!known.stub) {
                 grpc::ChannelArguments arguments;
@@ -220,13 +251,14 @@
                 known.channel = grpc::CreateCustomChannel("ipv4:" + address, m_credentials, arguments);
                 known.stub = schema::peer::NewStub(known.channel);
             }
-            return known;
+            return *known.stub;
         });
     }
 
     std::shared_ptr<grpc::ChannelCredentials> m_credentials;
     traffic_meter *m_meter;
     shards<connection_map> m_connections;
+    live_calls m_calls;
 };
 
 } // namespace
