rules: changes travel as lines, text in shared chunks, blocks in shared pages

Change: `rule_document` (compressed chunks cut by content), `rule_patch` in the log and out of a `patch_window` to other daemons, a parser that keeps the chunks of the earlier file, `block_table` in pages that versions share, history on disk hosts only. Drains send patches.

Ruled out: fixed counts of lines a chunk (the digest then depends on how a text came about); copying flat block arrays at each change (twice the memory for a moment); rebasing a patch on another version (two edits may contradict).

--- a/include/codec/peer_codec.h
+++ b/include/codec/peer_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "codec/replica_codec.h"
+#include "replica/rule_update.h"
 #include "rpc/peer_types.h"
 #include "steering/poison_registry.h"
 
@@ -29,6 +30,10 @@
 upstream_report decode(const schema::upstream &value);
 exchange_message decode(const schema::exchange_request &value);
 exchange_message decode(const schema::exchange_reply &value);
+schema::rules_request encode(const rules_position &value);
+rules_position decode(const schema::rules_request &value);
+schema::rules_reply encode(const rules_update &value);
+rules_update decode(const schema::rules_reply &value);
 /// The deadline is counted from `now`.
 forward_message decode(const schema::forward_request &value, steady_time now);
 forward_result decode(const schema::forward_reply &value);
--- a/include/codec/replica_codec.h
+++ b/include/codec/replica_codec.h
@@ -15,6 +15,8 @@
 schema::replica_id encode(const replica_id &value);
 schema::replica_config encode(const replica_config &value);
 schema::rules_change encode(const rules_change &value);
+schema::rule_patch encode(const rule_patch &value);
+rule_patch decode(const schema::rule_patch &value);
 schema::history_record encode(const history_record &value);
 schema::epoch_member encode(const epoch_member &value);
 schema::claim_epoch encode(const claim_epoch &value);
@@ -29,6 +31,8 @@
 replica_id decode(const schema::replica_id &value);
 replica_config decode(const schema::replica_config &value);
 rules_change decode(const schema::rules_change &value);
+schema::line_edit encode(const line_edit &value);
+line_edit decode(const schema::line_edit &value);
 history_record decode(const schema::history_record &value);
 epoch_member decode(const schema::epoch_member &value);
 claim_epoch decode(const schema::claim_epoch &value);
--- a/include/daemon/fleet_agent.h
+++ b/include/daemon/fleet_agent.h
@@ -92,6 +92,8 @@
     exchange_planner m_planner;
     std::atomic<bool> m_stopped {false};
     std::atomic<bool> m_fetching {false};
+    // The last patches that were fetched did not fit.
+    std::atomic<bool> m_wholeWanted {false};
 
     // Upstream records that changed lately, by instance, to be passed on.
     struct fresh_report {
--- a/include/daemon/rule_keeper.h
+++ b/include/daemon/rule_keeper.h
@@ -3,8 +3,9 @@
 #include "claims/claim_store.h"
 #include "claims/epoch_table.h"
 #include "core/clock.h"
+#include "core/error.h"
 #include "core/published.h"
-#include "replica/replica_types.h"
+#include "replica/rule_update.h"
 #include "rules/rule_set.h"
 #include "steering/cap_table.h"
 
@@ -26,6 +27,12 @@
     /// Takes over `state` when it is newer than what is in force. Returns false otherwise.
     bool update(const ledger_state &state);
 
+    /// Takes over what another host passed on. Errors: corruptRecord when its patches do not fit the text in force.
+    result<bool> update(const rules_update &passed);
+
+    /// What a host at `position` needs to have the same; empty when it has it.
+    [[nodiscard]] std::optional<rules_update> updateFor(const rules_position &position) const;
+
     /// Never null.
     [[nodiscard]] std::shared_ptr<const ledger_state> state() const;
     /// Null before the first rules.
@@ -37,7 +44,9 @@
     claim_store &m_claims;
     cap_table &m_caps;
     clock_source &m_clock;
-    std::mutex m_updateLock;
+    // Guards the window and the order of updates.
+    mutable std::mutex m_updateLock;
+    patch_window m_window;
     published<ledger_state> m_state;
     published<rule_set> m_rules;
     std::atomic<wall_ms> m_inForceSince {0};
--- a/include/daemon/rule_submitter.h
+++ b/include/daemon/rule_submitter.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/names.h"
 #include "core/topology.h"
+#include "daemon/rule_keeper.h"
 #include "replica/replica_node.h"
 #include "rpc/peer_client.h"
 
@@ -19,6 +20,7 @@
     peer_client &peers;
     const topology &fleet;
     clock_source &clock;
+    const rule_keeper &rules;
 };
 
 /// Brings a submitted rule file to the leader of the log, from whatever host it was handed to.
@@ -34,8 +36,15 @@
     void submit(rules_change change, bool relayed, milliseconds timeout, submit_done done);
 
 private:
-    [[nodiscard]] bool isValid(const rules_change &change) const;
-    void submitHere(rules_change change, bool relayed, milliseconds timeout, submit_done done);
+    enum class verdict {
+        valid,
+        invalid,
+        // A patch on a text that this host has not reached yet.
+        unknownBase,
+    };
+
+    [[nodiscard]] verdict check(const rules_change &change) const;
+    void submitHere(const replica_view &view, rules_change change, bool relayed, milliseconds timeout, submit_done done);
     void askVoter(std::size_t position, bool unsure, rules_change change, milliseconds timeout, submit_done done);
 
     rule_submitter_parts m_parts;
--- a/include/replica/replica_types.h
+++ b/include/replica/replica_types.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/digest.h"
 #include "core/names.h"
+#include "rules/rule_document.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -57,9 +58,11 @@
 /// A rule file offered for acceptance.
 struct rules_change {
     std::uint64_t version = 0;
-    std::string text;
+    // A patch is for the text of the version before.
+    rule_body body;
     std::string operatorName;
     wall_ms submittedAt = 0;
+    // Digest of the whole text.
     digest content;
 
     bool operator==(const rules_change &) const = default;
@@ -107,9 +110,9 @@
 /// What the applied log amounts to.
 struct ledger_state {
     std::uint64_t version = 0;
-    std::string text;
-    digest content;
+    rule_document text;
     std::string operatorName;
+    // Kept by hosts with disks; others ask them.
     std::vector<history_record> history;
     std::vector<claim_epoch> epochs;
     log_index appliedIndex = 0;
--- a/include/replica/rule_ledger.h
+++ b/include/replica/rule_ledger.h
@@ -32,6 +32,9 @@
     /// Applies one committed entry; the result matters for rule changes only.
     submit_result apply(const log_entry &entry);
 
+    /// The same change as a patch where that is smaller: what goes into the log.
+    [[nodiscard]] rules_change shortened(rules_change change) const;
+
     /// Compare-and-set on the version, idempotent by content: what `apply` would answer now.
     [[nodiscard]] submit_result judge(const rules_change &change) const;
 
@@ -41,6 +44,7 @@
     }
 
 private:
+    [[nodiscard]] submit_result conflict() const;
     submit_result accept(const rules_change &change);
     void open(const claim_epoch &epoch);
 
--- a/include/rpc/peer_client.h
+++ b/include/rpc/peer_client.h
@@ -3,6 +3,7 @@
 #include "replica/formation.h"
 #include "replica/replica_types.h"
 #include "replica/rule_ledger.h"
+#include "replica/rule_update.h"
 #include "rpc/peer_types.h"
 #include "steering/poison_registry.h"
 
@@ -27,8 +28,8 @@
     virtual ~peer_client() = default;
 
     virtual void exchange(const std::string &address, const exchange_message &message, milliseconds timeout, peer_done<exchange_message> done) = 0;
-    /// Empty when the peer has nothing newer than `haveIndex`.
-    virtual void fetchRules(const std::string &address, std::uint64_t haveIndex, milliseconds timeout, peer_done<std::optional<ledger_state>> done) = 0;
+    /// Empty when the peer has nothing newer than `have`.
+    virtual void fetchRules(const std::string &address, const rules_position &have, milliseconds timeout, peer_done<std::optional<rules_update>> done) = 0;
     virtual void notifyRules(const std::string &address, const rules_notice &notice) = 0;
     virtual void relayAnnounce(const std::string &address, const upstream_report &report) = 0;
     virtual call_canceller forward(const std::string &address, const forward_message &message, peer_done<forward_result> done) = 0;
@@ -52,7 +53,7 @@
     virtual ~peer_handler() = default;
 
     virtual exchange_message onExchange(const exchange_message &message) = 0;
-    virtual std::optional<ledger_state> onFetchRules(std::uint64_t haveIndex) = 0;
+    virtual std::optional<rules_update> onFetchRules(const rules_position &have) = 0;
     virtual void onNotifyRules(const rules_notice &notice) = 0;
     virtual void onRelayAnnounce(const upstream_report &report) = 0;
     virtual void onForward(forward_message message, std::function<void(const forward_result &)> done) = 0;
--- a/include/rules/rule_parser.h
+++ b/include/rules/rule_parser.h
@@ -2,6 +2,7 @@
 
 #include "core/names.h"
 #include "core/topology.h"
+#include "rules/rule_document.h"
 #include "rules/rule_set.h"
 
 #include <memory>
@@ -34,10 +35,10 @@
 /// Reads a rule file. `file` names it in errors only.
 rule_parse parseRules(std::string_view text, std::string_view file);
 
-/// Names in `rules` that neither the topology nor the services know.
-std::vector<rule_error> checkNames(const rule_set &rules, const topology &fleet, std::span<const service_name> services, std::string_view file);
+/// The same, at the cost of what differs from `before`, whose chunks and block pages the result shares. Null: reads all.
+rule_parse parseRules(const rule_document &document, std::string_view file, const rule_set *before);
 
-/// Milliseconds since the Unix epoch of "2026-12-06T20:00+01:00" (or "Z", with optional seconds); empty when malformed.
-std::optional<wall_ms> parseTime(std::string_view text);
+/// Names in `rules` that neither the topology nor the services know; each home of client blocks once.
+std::vector<rule_error> checkNames(const rule_set &rules, const topology &fleet, std::span<const service_name> services, std::string_view file);
 
 } // namespace hornbeampick
--- a/include/rules/rule_set.h
+++ b/include/rules/rule_set.h
@@ -6,6 +6,7 @@
 #include "rules/block_table.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -81,12 +82,15 @@
     rule_origin origin;
 };
 
-struct clients_rule {
-    client_block block;
+/// A region that is home to client blocks, and the first line that says so.
+struct home_use {
     region_name home;
     rule_origin origin;
 };
 
+/// The parser's own view of a part of the file.
+struct parsed_chunk;
+
 /// A whole rule file, checked. Immutable once parsed; shared by const pointer.
 struct rule_set {
     std::uint64_t version = 0;
@@ -95,10 +99,12 @@
     std::vector<shift_rule> shifts;
     std::vector<drain_rule> drains;
     std::vector<rest_rule> rests;
-    std::vector<clients_rule> clients;
-    // Homes of `homes` are positions in this list.
+    std::vector<home_use> homeUses;
+    // Homes of `homes` are positions in this list; an earlier file's home may be left unused.
     std::vector<region_name> homeRegions;
     block_table homes;
+    // In the order of the file; what a later file still has is not read again.
+    std::vector<std::shared_ptr<const parsed_chunk>> parts;
 
     [[nodiscard]] bool isDrained(drain_target target, std::string_view name, wall_ms now, milliseconds lead = {}) const;
     [[nodiscard]] bool isResting(const service_name &service, const region_name &region, wall_ms now, milliseconds lead = {}) const;
--- a/include/rules/rule_text.h
+++ b/include/rules/rule_text.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rules/rule_document.h"
 #include "rules/rule_set.h"
 
 #include <cstdint>
@@ -21,6 +22,9 @@
 /// Without the drains of one target; the same text when there are none.
 std::string withoutDrain(std::string_view text, drain_target target, std::string_view name);
 
+/// The line that gives a client block its home; empty when there is none. Searches the whole text.
+std::string clientsLine(const rule_document &document, const client_block &block);
+
 /// One line that only one of two texts has.
 struct line_change {
     // Added in the second text, else removed from the first.
--- a/include/tool/operator_client.h
+++ b/include/tool/operator_client.h
@@ -23,7 +23,8 @@
 
     result<submit_result> submit(const rules_change &change);
     /// The state in force on the first host that answers; empty when it knows none.
-    result<std::optional<ledger_state>> rules();
+    /// Only hosts with disks know the history: with it, hosts are asked until one does.
+    result<ledger_state> rules(bool withHistory);
     result<fleet_status> status();
     result<steering_explanation> explain(const service_name &service, const std::string &client);
     result<std::vector<service_region_load>> loads();
--- a/src/codec/peer_codec.cpp
+++ b/src/codec/peer_codec.cpp
@@ -1,5 +1,8 @@
 #include "codec/peer_codec.h"
 
+#include "codec/replica_codec.h"
+#include "repeated_codec.h"
+
 namespace hornbeampick
 {
 
@@ -193,6 +196,40 @@
     return decodeExchange(value);
 }
 
+schema::rules_request encode(const rules_position &value)
+{
+    schema::rules_request message;
+    message.set_have_index(value.index);
+    message.set_have_version(value.version);
+    message.set_with_history(value.withHistory);
+    return message;
+}
+
+rules_position decode(const schema::rules_request &value)
+{
+    return {.index = value.have_index(), .version = value.have_version(), .withHistory = value.with_history()};
+}
+
+schema::rules_reply encode(const rules_update &value)
+{
+    schema::rules_reply message;
+    *message.mutable_state() = encode(value.state);
+    message.set_patched(value.patches.has_value());
+    if (value.patches) {
+        encodeAll(*value.patches, message.mutable_patches());
+    }
+    return message;
+}
+
+rules_update decode(const schema::rules_reply &value)
+{
+    rules_update update {.state = decode(value.state()), .patches = std::nullopt};
+    if (value.patched()) {
+        update.patches = decodeAll<rule_patch>(value.patches());
+    }
+    return update;
+}
+
 schema::forward_request encode(const forward_message &value)
 {
     schema::forward_request message;
--- a/src/codec/replica_codec.cpp
+++ b/src/codec/replica_codec.cpp
@@ -1,6 +1,7 @@
 #include "codec/replica_codec.h"
 
 #include "core/overloaded.h"
+#include "repeated_codec.h"
 
 namespace hornbeampick
 {
@@ -10,24 +11,6 @@
 
 constexpr std::uint32_t snapshotFormat = 1;
 
-// Encodes every value of `from` into the repeated field `to`.
-template <typename From, typename To> void encodeAll(const From &from, To *to)
-{
-    for (const auto &value : from) {
-        *to->Add() = encode(value);
-    }
-}
-
-template <typename To, typename From> std::vector<To> decodeAll(const From &from)
-{
-    std::vector<To> values;
-    values.reserve(static_cast<std::size_t>(from.size()));
-    for (const auto &value : from) {
-        values.push_back(decode(value));
-    }
-    return values;
-}
-
 } // namespace
 
 schema::history_record encode(const history_record &value)
@@ -91,11 +74,43 @@
     return {.voters = decodeAll<replica_id>(value.voters()), .learners = decodeAll<replica_id>(value.learners())};
 }
 
+schema::line_edit encode(const line_edit &value)
+{
+    schema::line_edit message;
+    message.set_at(value.at);
+    message.set_removed(value.removed);
+    message.set_added(value.added);
+    return message;
+}
+
+line_edit decode(const schema::line_edit &value)
+{
+    return {.at = value.at(), .removed = value.removed(), .added = value.added()};
+}
+
+schema::rule_patch encode(const rule_patch &value)
+{
+    schema::rule_patch message;
+    message.set_base(value.base.bytes());
+    message.set_result(value.result.bytes());
+    encodeAll(value.edits, message.mutable_edits());
+    return message;
+}
+
+rule_patch decode(const schema::rule_patch &value)
+{
+    return {.base = digestFromBytes(value.base()), .result = digestFromBytes(value.result()), .edits = decodeAll<line_edit>(value.edits())};
+}
+
 schema::rules_change encode(const rules_change &value)
 {
     schema::rules_change message;
     message.set_version(value.version);
-    message.set_text(value.text);
+    std::visit(overloaded {
+                   [&](const std::string &text) { message.set_text(text); },
+                   [&](const rule_patch &patch) { *message.mutable_patch() = encode(patch); },
+               },
+               value.body);
     message.set_operator_name(value.operatorName);
     message.set_submitted_at_ms(static_cast<std::uint64_t>(value.submittedAt));
     message.set_digest(value.content.bytes());
@@ -106,7 +121,7 @@
 {
     return {
         .version = value.version(),
-        .text = value.text(),
+        .body = value.has_patch() ? rule_body(decode(value.patch())) : rule_body(value.text()),
         .operatorName = value.operator_name(),
         .submittedAt = static_cast<wall_ms>(value.submitted_at_ms()),
         .content = digestFromBytes(value.digest()),
@@ -180,8 +195,7 @@
 {
     schema::ledger_state message;
     message.set_version(value.version);
-    message.set_text(value.text);
-    message.set_digest(value.content.bytes());
+    message.set_text(value.text.text());
     message.set_operator_name(value.operatorName);
     encodeAll(value.history, message.mutable_history());
     encodeAll(value.epochs, message.mutable_epochs());
@@ -193,8 +207,7 @@
 {
     return {
         .version = value.version(),
-        .text = value.text(),
-        .content = digestFromBytes(value.digest()),
+        .text = rule_document(value.text()),
         .operatorName = value.operator_name(),
         .history = decodeAll<history_record>(value.history()),
         .epochs = decodeAll<claim_epoch>(value.epochs()),
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -120,8 +120,8 @@
                 return opened;
             }
         }
-        m_submitter
-            = std::make_unique<rule_submitter>(rule_submitter_parts {m_replica.get(), *m_peers, m_fleet, m_clock}, m_services, voterAddresses(*m_settings));
+        m_submitter = std::make_unique<rule_submitter>(rule_submitter_parts {m_replica.get(), *m_peers, m_fleet, m_clock, m_rules}, m_services,
+                                                       voterAddresses(*m_settings));
         m_endpoint = std::make_unique<peer_endpoint>(endpointParts());
         auto server = makeGrpcPeerServer(addressOf(rpc.address(), static_cast<int>(rpc.port())), tlsOf(*m_settings), *m_endpoint, &m_traffic);
         if (!server) {
--- a/src/daemon/fleet_agent.cpp
+++ b/src/daemon/fleet_agent.cpp
@@ -258,11 +258,17 @@
     if (m_fetching.exchange(true)) {
         return;
     }
-    const auto have = m_parts.rules.state()->appliedIndex;
-    m_parts.peers.fetchRules(address, have, fetchTimeout, [this, root](const result<std::optional<ledger_state>> &reply) {
+    const auto state = m_parts.rules.state();
+    const rules_position have {.index = state->appliedIndex, .version = m_wholeWanted ? 0 : state->version};
+    m_parts.peers.fetchRules(address, have, fetchTimeout, [this, root](const result<std::optional<rules_update>> &reply) {
         m_fetching = false;
-        const bool updated = reply && reply.value() && m_parts.rules.update(*reply.value());
-        if (updated && !root.empty()) {
+        if (!reply || !reply.value()) {
+            return;
+        }
+        const auto updated = m_parts.rules.update(*reply.value());
+        // Patches that do not fit are repaired by the next exchange, with the whole text.
+        m_wholeWanted = !updated;
+        if (updated && updated.value() && !root.empty()) {
             notifyChildren(root);
         }
     });
--- a/src/daemon/peer_endpoint.cpp
+++ b/src/daemon/peer_endpoint.cpp
@@ -1,5 +1,7 @@
 #include "peer_endpoint.h"
 
+#include "rules/rule_text.h"
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -55,24 +57,11 @@
     std::function<void(const fleet_status &)> m_done;
 };
 
-// The line of the rule file that an origin names.
-std::string lineOf(std::string_view text, std::uint32_t number)
-{
-    for (std::uint32_t line = 1; line < number; ++line) {
-        const auto end = text.find('\n');
-        if (end == std::string_view::npos) {
-            return {};
-        }
-        text.remove_prefix(end + 1);
-    }
-    return std::string(text.substr(0, text.find('\n')));
-}
-
 // Lines of the rules that bear on a service and a home region.
 std::vector<std::string> rulesAbout(const rule_set &rules, const ledger_state &state, const service_name &service, const region_name &home, ipv4 client)
 {
     std::vector<std::string> lines;
-    const auto add = [&](const rule_origin &origin) { lines.push_back(lineOf(state.text, origin.line)); };
+    const auto add = [&](const rule_origin &origin) { lines.emplace_back(state.text.line(origin.line)); };
     for (const auto &rule : rules.shifts) {
         if (rule.service == service && rule.from == home) {
             add(rule.origin);
@@ -86,11 +75,10 @@
             add(rule.origin);
         }
     }
-    for (const auto &rule : rules.clients) {
-        const unsigned hostBits = 32 - rule.block.prefixBits;
-        const bool holds = rule.block.prefixBits == 0 || (client >> hostBits) == (rule.block.address >> hostBits);
-        if (holds) {
-            add(rule.origin);
+    for (const auto &block : rules.homes.blocksAround(client)) {
+        const auto line = clientsLine(state.text, block);
+        if (!line.empty()) {
+            lines.push_back(line);
         }
     }
     return lines;
@@ -108,13 +96,9 @@
     return m_parts.agent.onExchange(message);
 }
 
-std::optional<ledger_state> peer_endpoint::onFetchRules(std::uint64_t haveIndex)
+std::optional<rules_update> peer_endpoint::onFetchRules(const rules_position &have)
 {
-    const auto state = m_parts.rules.state();
-    if (state->appliedIndex <= haveIndex) {
-        return std::nullopt;
-    }
-    return *state;
+    return m_parts.rules.updateFor(have);
 }
 
 void peer_endpoint::onNotifyRules(const rules_notice &notice)
--- a/src/daemon/peer_endpoint.h
+++ b/src/daemon/peer_endpoint.h
@@ -45,7 +45,7 @@
     explicit peer_endpoint(peer_endpoint_parts parts);
 
     exchange_message onExchange(const exchange_message &message) override;
-    std::optional<ledger_state> onFetchRules(std::uint64_t haveIndex) override;
+    std::optional<rules_update> onFetchRules(const rules_position &have) override;
     void onNotifyRules(const rules_notice &notice) override;
     void onRelayAnnounce(const upstream_report &report) override;
     void onForward(forward_message message, std::function<void(const forward_result &)> done) override;
--- a/src/daemon/rule_keeper.cpp
+++ b/src/daemon/rule_keeper.cpp
@@ -23,7 +23,7 @@
         return false;
     }
     if (state.version > known->version) {
-        const auto parsed = parseRules(state.text, "accepted rules");
+        const auto parsed = parseRules(state.text, "accepted rules", m_rules.get().get());
         if (!parsed.rules) {
             // Accepted by a newer release: what is in force stays.
             logEvent(log_level::error, "rules-unreadable", {{"version", static_cast<std::int64_t>(state.version)}, {"place", parsed.errors.front().text()}});
@@ -38,10 +38,26 @@
     for (const auto &[region, first] : m_epochs.firstOpen()) {
         m_claims.closeBefore(region, first);
     }
+    m_window.note(*known, state);
     m_state.set(std::make_shared<const ledger_state>(state));
     return true;
 }
 
+result<bool> rule_keeper::update(const rules_update &passed)
+{
+    const auto state = resolve(passed, m_state.get()->text);
+    if (!state) {
+        return errc::corruptRecord;
+    }
+    return update(*state);
+}
+
+std::optional<rules_update> rule_keeper::updateFor(const rules_position &position) const
+{
+    const std::lock_guard guard(m_updateLock);
+    return m_window.updateFor(position, *m_state.get());
+}
+
 std::shared_ptr<const ledger_state> rule_keeper::state() const
 {
     return m_state.get();
--- a/src/daemon/rule_submitter.cpp
+++ b/src/daemon/rule_submitter.cpp
@@ -24,30 +24,41 @@
 
 void rule_submitter::submit(rules_change change, bool relayed, milliseconds timeout, submit_done done)
 {
-    if (!isValid(change)) {
+    const verdict found = check(change);
+    if (found == verdict::invalid) {
         done(failure(errc::rulesInvalid));
         return;
     }
     change.submittedAt = relayed ? change.submittedAt : m_parts.clock.wallNow();
-    if (m_parts.replica != nullptr) {
-        submitHere(std::move(change), relayed, timeout, std::move(done));
-    } else {
+    if (m_parts.replica == nullptr) {
         askVoter(0, false, std::move(change), timeout, std::move(done));
+        return;
+    }
+    // Nothing unchecked gets into the log: a leader that is not so far yet is asked again.
+    const replica_view view = m_parts.replica->view();
+    if (view.role == replica_role::leader && found == verdict::unknownBase) {
+        done(failure(errc::notLeader));
+        return;
     }
+    submitHere(view, std::move(change), relayed, timeout, std::move(done));
 }
 
-bool rule_submitter::isValid(const rules_change &change) const
+rule_submitter::verdict rule_submitter::check(const rules_change &change) const
 {
-    const auto parsed = parseRules(change.text, "rules");
-    if (!parsed.rules || parsed.rules->version != change.version || digestOf({change.text}) != change.content) {
-        return false;
+    const auto state = m_parts.rules.state();
+    const auto text = resolve(change.body, state->text);
+    if (!text) {
+        // The log answers what concerns a version that is taken.
+        return change.version <= state->version ? verdict::valid : verdict::unknownBase;
     }
-    return checkNames(*parsed.rules, m_parts.fleet, m_services, "rules").empty();
+    const auto parsed = parseRules(*text, "rules", m_parts.rules.rules().get());
+    const bool named = parsed.rules && parsed.rules->version == change.version && text->content() == change.content;
+    const bool known = named && checkNames(*parsed.rules, m_parts.fleet, m_services, "rules").empty();
+    return known ? verdict::valid : verdict::invalid;
 }
 
-void rule_submitter::submitHere(rules_change change, bool relayed, milliseconds timeout, submit_done done)
+void rule_submitter::submitHere(const replica_view &view, rules_change change, bool relayed, milliseconds timeout, submit_done done)
 {
-    const auto view = m_parts.replica->view();
     if (view.role == replica_role::leader) {
         m_parts.replica->submit(std::move(change), std::move(done));
         return;
--- a/src/replica/replica_engine.cpp
+++ b/src/replica/replica_engine.cpp
@@ -117,6 +117,9 @@
         done(failure(errc::notAVoter));
         return;
     }
+    if (auto *change = std::get_if<rules_change>(&body)) {
+        *change = m_ledger.shortened(std::move(*change));
+    }
     const auto index = m_core->propose(std::move(body), m_clock.now());
     if (!index) {
         done(failure(static_cast<errc>(index.error().value())));
--- a/src/replica/rule_ledger.cpp
+++ b/src/replica/rule_ledger.cpp
@@ -38,7 +38,26 @@
     if (winner != history.end()) {
         return {.error = errc::versionConflict, .version = m_state.version, .winner = winner->content, .winnerOperator = winner->operatorName};
     }
-    return {.error = errc::versionConflict, .version = m_state.version, .winner = m_state.content, .winnerOperator = m_state.operatorName};
+    return conflict();
+}
+
+rules_change rule_ledger::shortened(rules_change change) const
+{
+    const auto *whole = std::get_if<std::string>(&change.body);
+    const bool follows = m_state.version > 0 && change.version == m_state.version + 1;
+    if (whole == nullptr || !follows) {
+        return change;
+    }
+    rule_patch patch = makePatch(m_state.text, rule_document(*whole));
+    if (patch.bytes() < whole->size()) {
+        change.body = std::move(patch);
+    }
+    return change;
+}
+
+submit_result rule_ledger::conflict() const
+{
+    return {.error = errc::versionConflict, .version = m_state.version, .winner = m_state.text.content(), .winnerOperator = m_state.operatorName};
 }
 
 submit_result rule_ledger::accept(const rules_change &change)
@@ -48,9 +67,13 @@
     if (!isNew) {
         return verdict;
     }
+    auto text = resolve(change.body, m_state.text);
+    if (!text || text->content() != change.content) {
+        // A patch on a text that another change has replaced meanwhile.
+        return conflict();
+    }
     m_state.version = change.version;
-    m_state.text = change.text;
-    m_state.content = change.content;
+    m_state.text = std::move(*text);
     m_state.operatorName = change.operatorName;
     m_state.history.push_back({.version = change.version, .content = change.content, .operatorName = change.operatorName, .acceptedAt = change.submittedAt});
     if (m_state.history.size() > historySize) {
--- a/src/rpc/grpc_peer_client.cpp
+++ b/src/rpc/grpc_peer_client.cpp
@@ -92,18 +92,16 @@
                                      [done = std::move(done)](const result<schema::exchange_reply> &reply) { finish(reply, done); });
     }
 
-    void fetchRules(const std::string &address, std::uint64_t haveIndex, milliseconds timeout, peer_done<std::optional<ledger_state>> done) override
+    void fetchRules(const std::string &address, const rules_position &have, milliseconds timeout, peer_done<std::optional<rules_update>> done) override
     {
-        schema::rules_request request;
-        request.set_have_index(haveIndex);
-        call<schema::rules_reply>("spread", address, std::move(request), timeout, &stub_async::fetch_rules,
+        call<schema::rules_reply>("spread", address, encode(have), timeout, &stub_async::fetch_rules,
                                   [done = std::move(done)](const result<schema::rules_reply> &reply) {
                                       if (!reply) {
                                           done(reply.error());
                                       } else if (reply.value().has_state()) {
-                                          done(std::optional(decode(reply.value().state())));
+                                          done(std::optional(decode(reply.value())));
                                       } else {
-                                          done(std::optional<ledger_state>());
+                                          done(std::optional<rules_update>());
                                       }
                                   });
     }
--- a/src/rpc/grpc_peer_server.cpp
+++ b/src/rpc/grpc_peer_server.cpp
@@ -34,8 +34,8 @@
 
     grpc::ServerUnaryReactor *fetch_rules(context_pointer context, const schema::rules_request *request, schema::rules_reply *reply) override
     {
-        if (const auto state = m_handler.onFetchRules(request->have_index())) {
-            *reply->mutable_state() = encode(*state);
+        if (const auto update = m_handler.onFetchRules(decode(*request))) {
+            *reply = encode(*update);
         }
         count("spread", *reply);
         return finish(context);
@@ -116,7 +116,7 @@
         m_handler.onSubmit(change, request->relayed(), milliseconds(request->timeout_ms()), [reactor, reply](const submit_result &value) {
             *reply = encode(value);
             reactor->Finish(grpc::Status::OK);
-        });
+        }));
         return reactor;
     }
 
--- a/src/rules/rule_text.cpp
+++ b/src/rules/rule_text.cpp
@@ -93,6 +93,24 @@
     return joined(kept);
 }
 
+std::string clientsLine(const rule_document &document, const client_block &block)
+{
+    const std::string name = textOf(block);
+    for (const auto &chunk : document.chunks()) {
+        const std::string text = chunk->text();
+        if (text.find(name) == std::string::npos) {
+            continue;
+        }
+        for (const auto line : linesOf(text)) {
+            line_reader reader(line, "", 1);
+            if (reader.accept("clients") && reader.accept(name)) {
+                return std::string(line);
+            }
+        }
+    }
+    return {};
+}
+
 std::vector<line_change> diffLines(std::string_view before, std::string_view after)
 {
     const auto [a, b] = trimCommon(linesOf(before), linesOf(after));
--- a/src/tool/operator_client.cpp
+++ b/src/tool/operator_client.cpp
@@ -107,11 +107,18 @@
     return answer;
 }
 
-result<std::optional<ledger_state>> operator_client::rules()
+result<ledger_state> operator_client::rules(bool withHistory)
 {
-    return askInTurn<std::optional<ledger_state>>([&](const std::string &host, milliseconds timeout,
-                                                      peer_done<std::optional<ledger_state>> done) { m_peers.fetchRules(host, 0, timeout, std::move(done)); },
-                                                  [](const std::optional<ledger_state> &) { return true; });
+    const rules_position nothing {.index = 0, .version = 0, .withHistory = withHistory};
+    const auto update = askInTurn<std::optional<rules_update>>(
+        [&](const std::string &host, milliseconds timeout, peer_done<std::optional<rules_update>> done) {
+            m_peers.fetchRules(host, nothing, timeout, std::move(done));
+        },
+        [withHistory](const std::optional<rules_update> &reply) { return !withHistory || (reply && !reply->state.history.empty()); });
+    if (!update) {
+        return update.error();
+    }
+    return update.value() ? update.value()->state : ledger_state {};
 }
 
 result<fleet_status> operator_client::status()
--- a/src/tool/output.cpp
+++ b/src/tool/output.cpp
@@ -147,10 +147,12 @@
 void output::rules(const ledger_state &state)
 {
     if (m_json) {
-        printJson(m_stream, json::object {{"version", state.version}, {"digest", state.content.hex()}, {"operator", state.operatorName}, {"text", state.text}});
+        printJson(
+            m_stream,
+            json::object {{"version", state.version}, {"digest", state.text.content().hex()}, {"operator", state.operatorName}, {"text", state.text.text()}});
         return;
     }
-    m_stream << state.text;
+    m_stream << state.text.text();
 }
 
 void output::history(const ledger_state &state)
--- a/src/tool/tool.cpp
+++ b/src/tool/tool.cpp
@@ -165,20 +165,20 @@
         if (!rules) {
             return exit_code::refused;
         }
-        const auto answer = submit(rules->version, text);
+        const auto answer = submit(rules->version, text, rule_document(text).content());
         if (!answer) {
             return failed(answer.error());
         }
         return report(answer.value());
     }
 
-    result<submit_result> submit(std::uint64_t version, const std::string &text)
+    result<submit_result> submit(std::uint64_t version, rule_body body, const digest &content)
     {
         rules_change change;
         change.version = version;
-        change.text = text;
+        change.body = std::move(body);
         change.operatorName = m_command.operatorName;
-        change.content = digestOf({text});
+        change.content = content;
         return m_client->submit(change);
     }
 
@@ -236,15 +236,14 @@
 
     exit_code show(bool history)
     {
-        const auto state = m_client->rules();
+        const auto state = m_client->rules(history);
         if (!state) {
             return failed(state.error());
         }
-        const ledger_state shown = state.value().value_or(ledger_state {});
         if (history) {
-            m_out.history(shown);
+            m_out.history(state.value());
         } else {
-            m_out.rules(shown);
+            m_out.rules(state.value());
         }
         return exit_code::ok;
     }
@@ -254,11 +253,11 @@
         if (!parse(path, text)) {
             return exit_code::refused;
         }
-        const auto state = m_client->rules();
+        const auto state = m_client->rules(false);
         if (!state) {
             return failed(state.error());
         }
-        const auto changes = diffLines(state.value().value_or(ledger_state {}).text, text);
+        const auto changes = diffLines(state.value().text.text(), text);
         m_out.diff(changes);
         return changes.empty() ? exit_code::ok : exit_code::refused;
     }
@@ -297,18 +296,19 @@
         }
         // Another operator may get in between: then the change is made anew on top of theirs.
         for (int tried = 0; tried < conflictsTolerated; ++tried) {
-            const auto state = m_client->rules();
+            const auto state = m_client->rules(false);
             if (!state) {
                 return failed(state.error());
             }
-            const auto current = state.value().value_or(ledger_state {});
+            const auto &current = state.value();
             const std::uint64_t version = current.version + 1;
-            const std::string base = current.version == 0 ? "version 1\n" : withVersion(current.text, version);
+            const std::string base = current.version == 0 ? "version 1\n" : withVersion(current.text.text(), version);
             const std::string text = add ? withRule(base, drainLine(*target)) : withoutDrain(base, *target, m_command.words[2]);
             if (!parse("drain", text)) {
                 return exit_code::refused;
             }
-            const auto answer = submit(version, text);
+            const auto patch = makePatch(current.text, rule_document(text));
+            const auto answer = current.version == 0 ? submit(version, text, patch.result) : submit(version, patch, patch.result);
             if (!answer) {
                 return failed(answer.error());
             }
--- a/tests/rules/rule_parser_test.cpp
+++ b/tests/rules/rule_parser_test.cpp
@@ -1,6 +1,7 @@
 #include "rules/headroom_plan.h"
 #include "rules/rule_parser.h"
 #include "rules/rule_text.h"
+#include "rules/rule_time.h"
 
 #include <catch2/catch.hpp>
 #include <map>
