requests: a caller that leaves frees its slot everywhere; retries are earned by attempts

Cause: a forwarded idempotent request ran on at its owner after the caller had left, up to its whole timeout.

Change: cancelling a coroutine cancels the call it waits for; the owner's server ends the run. Keyed requests go on, so that the repeat finds the stored answer. The budget is earned by first attempts that left, a retry that did not leave gives its token back, and the first answer stands.

Ruled out: cancelling keyed requests as well (the key would end as unknown).

--- a/include/rpc/peer_client.h
+++ b/include/rpc/peer_client.h
@@ -56,7 +56,8 @@
     virtual std::optional<rules_update> onFetchRules(const rules_position &have) = 0;
     virtual void onNotifyRules(const rules_notice &notice) = 0;
     virtual void onRelayAnnounce(const upstream_report &report) = 0;
-    virtual void onForward(forward_message message, std::function<void(const forward_result &)> done) = 0;
+    /// `done` is called once, also after the request was cancelled.
+    virtual call_canceller onForward(forward_message message, std::function<void(const forward_result &)> done) = 0;
     virtual claim_reply onClaim(const claim_request &request) = 0;
     virtual void onPoison(const upstream_death &death) = 0;
     virtual host_status onStatus() = 0;
--- a/include/steering/retry_budget.h
+++ b/include/steering/retry_budget.h
@@ -9,7 +9,7 @@
 {
 
 struct retry_budget_options {
-    // Earned by each first attempt.
+    // Earned by each first attempt that reached an upstream.
     double earned = 0.08;
     double initial = 2;
     double most = 20;
@@ -24,10 +24,13 @@
     void onFirstAttempt(const service_name &service);
     /// Takes one retry or hedge; false when the budget is spent.
     bool take(const service_name &service);
+    /// A retry that was taken did not reach an upstream.
+    void giveBack(const service_name &service);
 
 private:
     using tokens = std::map<service_name, double>;
 
+    void add(const service_name &service, double earned);
     double &tokensOf(tokens &all, const service_name &service) const;
 
     retry_budget_options m_options;
--- a/src/daemon/peer_endpoint.cpp
+++ b/src/daemon/peer_endpoint.cpp
@@ -4,11 +4,15 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <exception>
 #include <memory>
 #include <mutex>
 
@@ -84,6 +88,12 @@
     return lines;
 }
 
+// A forwarded request that runs here, for its strand alone.
+struct forward_run {
+    asio::cancellation_signal signal;
+    bool ended = false;
+};
+
 } // namespace
 
 peer_endpoint::peer_endpoint(peer_endpoint_parts parts)
@@ -111,12 +121,36 @@
     m_parts.agent.onAnnounce(report, false);
 }
 
-void peer_endpoint::onForward(forward_message message, std::function<void(const forward_result &)> done)
+call_canceller peer_endpoint::onForward(forward_message message, std::function<void(const forward_result &)> done)
 {
-    asio::co_spawn(asio::make_strand(m_parts.context), runForwarded(std::move(message), std::move(done)), asio::detached);
+    const bool mayAbandon = message.request.idempotent;
+    const auto strand = asio::make_strand(m_parts.context);
+    const auto running = std::make_shared<forward_run>();
+    auto finish = [running, done = std::move(done)](const std::exception_ptr &failed, const forward_result &result) {
+        running->ended = true;
+        if (failed) {
+            done({.answer = makeRefusal(errc::callerLeft, run_outcome::unknown), .load = {}});
+        } else {
+            done(result);
+        }
+    };
+    asio::co_spawn(strand, runForwarded(std::move(message)),
+                   asio::bind_cancellation_slot(running->signal.slot(), asio::bind_executor(strand, std::move(finish))));
+    if (!mayAbandon) {
+        // A claimed request goes on without its sender: its key never runs again.
+        return [] {};
+    }
+    return [strand, running] {
+        asio::post(strand, [running] {
+            // A signal reaches into what runs, so it must not come after the end.
+            if (!running->ended) {
+                running->signal.emit(asio::cancellation_type::terminal);
+            }
+        });
+    };
 }
 
-asio::awaitable<void> peer_endpoint::runForwarded(forward_message message, std::function<void(const forward_result &)> done)
+asio::awaitable<forward_result> peer_endpoint::runForwarded(forward_message message)
 {
     const auto service = message.request.service;
     forward_result result;
@@ -129,7 +163,7 @@
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         }
     }
-    done(result);
+    co_return result;
 }
 
 claim_reply peer_endpoint::onClaim(const claim_request &request)
--- a/src/daemon/peer_endpoint.h
+++ b/src/daemon/peer_endpoint.h
@@ -48,7 +48,7 @@
     std::optional<rules_update> onFetchRules(const rules_position &have) override;
     void onNotifyRules(const rules_notice &notice) override;
     void onRelayAnnounce(const upstream_report &report) override;
-    void onForward(forward_message message, std::function<void(const forward_result &)> done) override;
+    call_canceller onForward(forward_message message, std::function<void(const forward_result &)> done) override;
     claim_reply onClaim(const claim_request &request) override;
     void onPoison(const upstream_death &death) override;
     host_status onStatus() override;
@@ -60,7 +60,7 @@
     void onForm(form_request request, std::function<void(const form_reply &)> done) override;
 
 private:
-    boost::asio::awaitable<void> runForwarded(forward_message message, std::function<void(const forward_result &)> done);
+    boost::asio::awaitable<forward_result> runForwarded(forward_message message);
 
     peer_endpoint_parts m_parts;
 };
--- a/src/daemon/request_carrier.cpp
+++ b/src/daemon/request_carrier.cpp
@@ -183,8 +183,10 @@
 
 asio::awaitable<carried_answer> request_carrier::carryWithRetries(caller_request &request)
 {
-    m_parts.budget.onFirstAttempt(request.carried.service);
     auto answer = co_await tryRegions(request);
+    if (answer.outcome != run_outcome::notRun) {
+        m_parts.budget.onFirstAttempt(request.carried.service);
+    }
     for (int retry = 0; retry < retriesMaximum && mayRetry(answer); ++retry) {
         const bool late = m_parts.clock.now() >= request.carried.deadline;
         if (late || !m_parts.budget.take(request.carried.service)) {
@@ -193,9 +195,10 @@
         m_parts.counters.countRetry(request.carried.service);
         request.carried.avoid = answer.instance.empty() ? std::nullopt : std::optional(answer.instance);
         auto next = co_await tryRegions(request);
-        // That the second attempt was refused does not undo the first.
         if (next.outcome == run_outcome::notRun) {
-            next.outcome = run_outcome::unknown;
+            // Nothing was sent: what the first attempt left open stays open.
+            m_parts.budget.giveBack(request.carried.service);
+            break;
         }
         answer = std::move(next);
     }
@@ -261,8 +264,9 @@
     message.timeout = std::max(std::chrono::duration_cast<milliseconds>(request.deadline - startedAt), milliseconds(1));
     message.request.traceParent = span.context.header();
     m_parts.loads.onForwarded(request.service, owner.host);
-    auto start
-        = [this, &owner, &message](std::function<void(result<forward_result>)> done) { m_parts.peers.forward(owner.rpcAddress, message, std::move(done)); };
+    auto start = [this, &owner, &message](std::function<void(result<forward_result>)> done) {
+        return m_parts.peers.forward(owner.rpcAddress, message, std::move(done));
+    };
     const auto reply = co_await awaitCallback<result<forward_result>>(std::move(start));
     const auto now = m_parts.clock.now();
     m_parts.loads.onReturned(request.service, owner.host, reply ? &reply.value().load : nullptr, now);
--- a/src/daemon/request_runner.cpp
+++ b/src/daemon/request_runner.cpp
@@ -178,7 +178,14 @@
         .deadline = request.deadline,
         .avoid = request.avoid,
     };
-    auto start = [this, &request, &wanted](std::function<void(gate_answer)> done) { m_parts.gate.admit(request.service, wanted, std::move(done)); };
+    auto start = [this, &request, &wanted](std::function<void(gate_answer)> done) -> std::function<void()> {
+        m_parts.gate.admit(request.service, wanted, done);
+        return [&gate = m_parts.gate, service = request.service, number = wanted.number, done = std::move(done)] {
+            if (gate.cancel(service, number)) {
+                done(slot_refused {.number = number, .error = errc::callerLeft, .retryAfter = {}});
+            }
+        };
+    };
     co_return co_await awaitCallback<gate_answer>(std::move(start));
 }
 
--- a/src/rpc/grpc_peer_server.cpp
+++ b/src/rpc/grpc_peer_server.cpp
@@ -5,6 +5,9 @@
 #include "peer.grpc.pb.h"
 
 #include <grpcpp/grpcpp.h>
+#include <memory>
+#include <mutex>
+#include <utility>
 
 namespace hornbeampick
 {
@@ -16,6 +19,64 @@
 
 using context_pointer = grpc::CallbackServerContext *;
 
+// Cancels a handler's work once, when both the wish and the means are there.
+class late_canceller
+{
+public:
+    void arm(call_canceller cancel)
+    {
+        {
+            const std::lock_guard guard(m_lock);
+            if (!m_wanted) {
+                m_cancel = std::move(cancel);
+                return;
+            }
+        }
+        cancel();
+    }
+
+    void cancel()
+    {
+        call_canceller cancel;
+        {
+            const std::lock_guard guard(m_lock);
+            m_wanted = true;
+            cancel = std::exchange(m_cancel, nullptr);
+        }
+        if (cancel) {
+            cancel();
+        }
+    }
+
+private:
+    std::mutex m_lock;
+    bool m_wanted = false;
+    call_canceller m_cancel;
+};
+
+// A forwarded request; the library destroys it through OnDone.
+class forward_reactor final : public grpc::ServerUnaryReactor
+{
+public:
+    [[nodiscard]] std::shared_ptr<late_canceller> canceller() const
+    {
+        return m_canceller;
+    }
+
+private:
+    void OnCancel() override
+    {
+        m_canceller->cancel();
+    }
+
+    void OnDone() override
+    {
+        delete this;
+    }
+
+    std::shared_ptr<late_canceller> m_canceller = std::make_shared<late_canceller>();
+};
+
 class peer_service final : public schema::peer::CallbackService
 {
 public:
@@ -53,13 +114,15 @@
         return finish(context);
     }
 
-    grpc::ServerUnaryReactor *forward(context_pointer context, const schema::forward_request *request, schema::forward_reply *reply) override
+    grpc::ServerUnaryReactor *forward(context_pointer, const schema::forward_request *request, schema::forward_reply *reply) override
     {
-        auto *reactor = context->DefaultReactor();
-        m_handler.onForward(decode(*request, std::chrono::steady_clock::now()), [reactor, reply](const forward_result &value) {
+        auto *reactor = new forward_reactor;
+        // The call may be over, and the reactor gone, before this returns.
+        const auto cancel = reactor->canceller();
+        cancel->arm(m_handler.onForward(decode(*request, std::chrono::steady_clock::now()), [reactor, reply](const forward_result &value) {
             *reply = encode(value);
             reactor->Finish(grpc::Status::OK);
-        });
+        }));
         return reactor;
     }
 
@@ -116,7 +179,7 @@
         m_handler.onSubmit(change, request->relayed(), milliseconds(request->timeout_ms()), [reactor, reply](const submit_result &value) {
             *reply = encode(value);
             reactor->Finish(grpc::Status::OK);
-        }));
+        });
         return reactor;
     }
 
--- a/src/steering/retry_budget.cpp
+++ b/src/steering/retry_budget.cpp
@@ -13,10 +13,20 @@
 }
 
 void retry_budget::onFirstAttempt(const service_name &service)
+{
+    add(service, m_options.earned);
+}
+
+void retry_budget::giveBack(const service_name &service)
+{
+    add(service, 1);
+}
+
+void retry_budget::add(const service_name &service, double earned)
 {
     m_tokens.with(stableHash(service.view()), [&](tokens &all) {
         double &left = tokensOf(all, service);
-        left = std::min(left + m_options.earned, m_options.most);
+        left = std::min(left + earned, m_options.most);
     });
 }
 
--- a/tests/fakes/process_fleet.cpp
+++ b/tests/fakes/process_fleet.cpp
@@ -98,7 +98,8 @@
         m_hosts.back()->name = place.name;
     }
     if (m_options.tls) {
-        makeKeys();
+        makeKeys("first");
+        useKeys("first", {"first"});
     }
     for (std::size_t i = 0; i < hostCount; ++i) {
         write(name(i) + ".yaml", settingsOf(i));
@@ -187,9 +188,24 @@
     for (const auto &each : m_hosts) {
         hosts += (hosts.empty() ? "" : ",") + each->proxy->address();
     }
-    const std::string keys = m_options.tls ? " --certificate " + (m_folder / "operator.pem").string() + " --key " + (m_folder / "operator.key").string()
-            + " --authority " + (m_folder / "authority.pem").string()
+    const auto folder = m_folder / "first";
+    const std::string keys = m_options.tls ? " --certificate " + (folder / "operator.pem").string() + " --key " + (folder / "operator.key").string()
+            + " --authority " + (folder / "authority.pem").string()
                                            : " --plain-text --operator tester";
+    return runTool(hosts, keys, arguments);
+}
+
+tool_run process_fleet::toolAt(std::size_t index, const std::string &keySet, const std::vector<std::string> &trusted, const std::string &arguments)
+{
+    const auto folder = m_folder / keySet;
+    const std::string authority = write("tool-authority.pem", bundleOf(trusted));
+    const std::string keys
+        = " --certificate " + (folder / "operator.pem").string() + " --key " + (folder / "operator.key").string() + " --authority " + authority;
+    return runTool(m_hosts[index]->proxy->address(), keys, arguments);
+}
+
+tool_run process_fleet::runTool(const std::string &hosts, const std::string &keys, const std::string &arguments)
+{
     process::ipstream output;
     process::child child(std::string(HORNBEAMPICK_TOOL) + " --hosts " + hosts + keys + " " + arguments, (process::std_out & process::std_err) > output);
     std::ostringstream text;
@@ -238,14 +254,16 @@
     require(became, "the fleet did not become ready\n" + logs());
 }
 
-void process_fleet::makeKeys()
+void process_fleet::makeKeys(const std::string &keySet)
 {
-    const std::string folder = m_folder.string();
+    std::filesystem::create_directory(m_folder / keySet);
+    const std::string folder = (m_folder / keySet).string();
     const auto run = [](const std::string &command) {
         require(process::system(command, process::std_err > process::null, process::std_out > process::null) == 0, command);
     };
-    run("openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=authority -keyout " + folder + "/authority.key -out " + folder + "/authority.pem");
-    write("extensions", "subjectAltName=IP:127.0.0.1\n");
+    run("openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=authority-" + keySet + " -keyout " + folder + "/authority.key -out " + folder
+        + "/authority.pem");
+    write(keySet + "/extensions", "subjectAltName=IP:127.0.0.1\n");
     const auto sign = [&](const std::string &subject) {
         const std::string base = folder + "/" + subject;
         run("openssl req -newkey rsa:2048 -nodes -subj /CN=" + subject + " -keyout " + base + ".key -out " + base + ".csr");
@@ -256,6 +274,28 @@
     sign("operator");
 }
 
+void process_fleet::useKeys(const std::string &keySet, const std::vector<std::string> &trusted)
+{
+    replace("authority.pem", bundleOf(trusted));
+    replace("host.key", contentOf(m_folder / keySet / "host.key"));
+    replace("host.pem", contentOf(m_folder / keySet / "host.pem"));
+}
+
+std::string process_fleet::bundleOf(const std::vector<std::string> &keySets) const
+{
+    std::string bundle;
+    for (const auto &each : keySets) {
+        bundle += contentOf(m_folder / each / "authority.pem");
+    }
+    return bundle;
+}
+
+void process_fleet::replace(const std::string &file, const std::string &content)
+{
+    const std::string fresh = write(file + ".new", content);
+    std::filesystem::rename(fresh, m_folder / file);
+}
+
 std::string process_fleet::tlsSettings() const
 {
     if (!m_options.tls) {
--- a/tests/fakes/process_fleet.h
+++ b/tests/fakes/process_fleet.h
@@ -55,6 +55,12 @@
     [[nodiscard]] std::string status(std::size_t host) const;
     /// Runs the tool against all hosts.
     tool_run tool(const std::string &arguments);
+    /// Runs the tool against one host, with the operator's key of one set and trust in the authorities of others.
+    tool_run toolAt(std::size_t host, const std::string &keySet, const std::vector<std::string> &trusted, const std::string &arguments);
+    /// Makes an authority with keys for hosts and operators of its own. The fleet starts with the set "first".
+    void makeKeys(const std::string &keySet);
+    /// Replaces the files that the hosts read: their own keys, and the authorities they trust.
+    void useKeys(const std::string &keySet, const std::vector<std::string> &trusted);
     /// Writes a file below the fleet's folder and returns its path.
     std::string write(const std::string &name, const std::string &content);
     /// Last lines of every host's log.
@@ -66,7 +72,9 @@
 private:
     struct host;
 
-    void makeKeys();
+    [[nodiscard]] std::string bundleOf(const std::vector<std::string> &keySets) const;
+    void replace(const std::string &file, const std::string &content);
+    tool_run runTool(const std::string &hosts, const std::string &keys, const std::string &arguments);
     [[nodiscard]] std::string settingsOf(std::size_t index) const;
     [[nodiscard]] std::string tlsSettings() const;
 
--- a/tests/fakes/upstream_fake.cpp
+++ b/tests/fakes/upstream_fake.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <condition_variable>
+#include <poll.h>
 #include <set>
 #include <sys/socket.h>
 
@@ -47,9 +48,11 @@
     std::string announced = "active";
     std::set<int> sockets;
     std::map<std::string, int> counts;
+    std::vector<std::chrono::steady_clock::time_point> begun;
     int total = 0;
     int running = 0;
     int peak = 0;
+    int abandoned = 0;
     int threads = 0;
 
     void end()
@@ -74,13 +77,18 @@
         peak = std::max(peak, running);
         ++counts[key];
         ++total;
+        begun.push_back(std::chrono::steady_clock::now());
         return true;
     }
 
-    void work()
+    // Waits out the work, or until the other side closes the connection.
+    void work(int socket, const std::string &body)
     {
-        std::unique_lock guard(lock);
-        wake.wait_for(guard, options.workTime, [this] { return ended.load(); });
+        const bool slow = !options.slowText.empty() && body.find(options.slowText) != std::string::npos;
+        pollfd watched {.fd = socket, .events = POLLRDHUP, .revents = 0};
+        const int closed = ::poll(&watched, 1, static_cast<int>((slow ? options.slowTime : options.workTime).count()));
+        const std::lock_guard guard(lock);
+        abandoned += closed > 0 && !ended ? 1 : 0;
         --running;
     }
 
@@ -98,7 +106,7 @@
             if (poisoned) {
                 end();
             }
-            work();
+            work(socket.native_handle(), request.body());
             response.set("X-Instance", options.instance);
             response.body() = "done " + key + " " + request.body();
         }
@@ -236,6 +244,18 @@
     return m_state->total;
 }
 
+int upstream_fake::abandoned() const
+{
+    const std::lock_guard guard(m_state->lock);
+    return m_state->abandoned;
+}
+
+std::vector<std::chrono::steady_clock::time_point> upstream_fake::begun() const
+{
+    const std::lock_guard guard(m_state->lock);
+    return m_state->begun;
+}
+
 int upstream_fake::peak() const
 {
     const std::lock_guard guard(m_state->lock);
--- a/tests/fakes/upstream_fake.h
+++ b/tests/fakes/upstream_fake.h
@@ -26,6 +26,9 @@
     std::string poisonText;
     // An answer whose request body holds this text is cut in half.
     std::string halfAnswerText;
+    // A request whose body holds this text takes `slowTime`.
+    std::string slowText;
+    std::chrono::milliseconds slowTime {60000};
 };
 
 /// A small upstream: announces itself, runs requests within its slots, counts them by idempotency key.
@@ -48,6 +51,10 @@
     /// Requests that were begun, by key; requests without a key count under "".
     [[nodiscard]] std::map<std::string, int> executions() const;
     [[nodiscard]] int total() const;
+    /// Requests whose connection was closed while they ran.
+    [[nodiscard]] int abandoned() const;
+    /// When each request was begun, in order.
+    [[nodiscard]] std::vector<std::chrono::steady_clock::time_point> begun() const;
     /// Most requests that ran at once.
     [[nodiscard]] int peak() const;
 
