requests: a slot granted to a request that has just left is given back

Cause: between the grant and the attempt stood an await; a request cancelled in that moment threw there, before anything held the slot, and the slot was lost until the upstream restarted. Callers that leave while a queue moves reach it; forwarded cancellations make that common.

Change: the slot is held by the coroutine that asked for it, before it awaits anything else.

Seen red: "both leave at once" on the former code, in-flight 1 instead of 0.

--- a/include/daemon/request_runner.h
+++ b/include/daemon/request_runner.h
@@ -23,6 +23,8 @@
     virtual boost::asio::awaitable<void> spread(const upstream_death &death) = 0;
 };
 
+class held_slot;
+
 /// The parts a request runner works with. All outlive it.
 struct request_runner_parts {
     request_gate &gate;
@@ -49,7 +51,7 @@
 private:
     boost::asio::awaitable<carried_answer> runWithinCaps(carried_request &request);
     boost::asio::awaitable<gate_answer> waitForSlot(const carried_request &request);
-    boost::asio::awaitable<carried_answer> attempt(const carried_request &request, const slot_grant &slot);
+    boost::asio::awaitable<carried_answer> attempt(const carried_request &request, held_slot &held);
     boost::asio::awaitable<void> reportIfDead(const carried_request &request, const slot_grant &slot, carried_answer &answer);
 
     request_runner_parts m_parts;
--- a/src/daemon/request_runner.cpp
+++ b/src/daemon/request_runner.cpp
@@ -15,6 +15,8 @@
 // Upstreams tried one after the other while none has run the request.
 constexpr int upstreamsTried = 3;
 
+} // namespace
+
 // Holds a slot; a request that is cancelled gives it back.
 class held_slot
 {
@@ -31,6 +33,11 @@
     held_slot(const held_slot &) = delete;
     held_slot &operator=(const held_slot &) = delete;
 
+    [[nodiscard]] const slot_grant &grant() const
+    {
+        return m_slot;
+    }
+
     void end(slot_end how)
     {
         if (!m_ended) {
@@ -45,6 +52,9 @@
     bool m_ended = false;
 };
 
+namespace
+{
+
 // The only run of a request that already ended an upstream.
 class suspect_run
 {
@@ -161,11 +171,13 @@
             // The reason of an earlier upstream says more than that no other is free.
             co_return tried == 0 ? makeRefusal(refused->error, run_outcome::notRun, refused->retryAfter) : std::move(answer);
         }
-        answer = co_await attempt(request, std::get<slot_grant>(slot));
+        // Held before anything else is awaited: a request cancelled by now goes no further.
+        held_slot held(m_parts.gate, std::get<slot_grant>(slot));
+        answer = co_await attempt(request, held);
         if (answer.outcome != run_outcome::notRun) {
             break;
         }
-        request.avoid = std::get<slot_grant>(slot).instance;
+        request.avoid = held.grant().instance;
     }
     co_return answer;
 }
@@ -189,11 +201,11 @@
     co_return co_await awaitCallback<gate_answer>(std::move(start));
 }
 
-asio::awaitable<carried_answer> request_runner::attempt(const carried_request &request, const slot_grant &slot)
+asio::awaitable<carried_answer> request_runner::attempt(const carried_request &request, held_slot &held)
 {
+    const slot_grant &slot = held.grant();
     const auto startedAt = m_parts.clock.now();
     const auto span = m_parts.traces.begin("attempt", trace_context::parse(request.traceParent));
-    held_slot held(m_parts.gate, slot);
     carried_request sent = request;
     sent.traceParent = span.context.header();
     auto result = co_await m_parts.upstreams.send(slot.address, sent);
--- /dev/null
+++ b/tests/daemon/request_runner_test.cpp
@@ -0,0 +1,135 @@
+#include "daemon/request_runner.h"
+
+#include "fakes/manual_clock.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+using namespace hornbeampick;
+using namespace hornbeampick::testing;
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+const service_name lookup("lookup");
+
+class death_reporter_mock final : public death_reporter
+{
+public:
+    MAKE_MOCK1(spread, asio::awaitable<void>(const upstream_death &), override);
+};
+
+// Runs every request until it is cancelled.
+class endless_upstreams final : public upstream_client
+{
+public:
+    asio::awaitable<attempt_result> send(const std::string &, const carried_request &) override
+    {
+        ++sent;
+        asio::steady_timer never(co_await asio::this_coro::executor, steady_time::max());
+        co_await never.async_wait(asio::use_awaitable);
+        co_return attempt_result {};
+    }
+    asio::awaitable<bool> isGone(const std::string &) override
+    {
+        co_return false;
+    }
+
+    int sent = 0;
+};
+
+// A runner that owns one upstream with one slot.
+struct runner_bench {
+    runner_bench()
+    {
+        gate.announce({.service = lookup,
+                       .instance = instance_name("u1"),
+                       .address = "127.0.0.1:1",
+                       .domain = domain_name("gent-a"),
+                       .incarnation = 1,
+                       .slots = 1,
+                       .connections = 360,
+                       .state = upstream_state::active},
+                      true);
+        gate.place([](const upstream_report &) { return request_gate::placement {.owned = true, .immediate = true, .drained = false}; });
+    }
+
+    void start(asio::cancellation_signal &signal)
+    {
+        carried_request request;
+        request.service = lookup;
+        request.deadline = clock.now() + seconds(60);
+        asio::co_spawn(context, runner.run(request),
+                       asio::bind_cancellation_slot(signal.slot(), [this](const std::exception_ptr &, const carried_answer &) { ++ended; }));
+        context.poll();
+    }
+
+    manual_clock clock;
+    seeded_random_source random {1};
+    asio::io_context context;
+    topology fleet {{{.name = region_name("Gent"), .domains = {domain_name("gent-a")}}}};
+    location self {.host = host_name("h"), .region = region_name("Gent"), .domain = domain_name("gent-a")};
+    request_gate gate {{.queueLimit = seconds(60), .slowStart = milliseconds(0)}, clock, random};
+    cap_table caps {fleet, self};
+    poison_registry poison {{}};
+    endless_upstreams upstreams;
+    death_reporter_mock deaths;
+    metrics counters;
+    tracer traces {"h", "", clock, random};
+    request_runner runner {{gate, caps, poison, upstreams, deaths, counters, traces, clock}};
+    int ended = 0;
+};
+
+} // namespace
+
+TEST_CASE("request_runner: a request cancelled while it runs, while it waits, or as its slot is granted gives the slot back")
+{
+    runner_bench bench;
+    asio::cancellation_signal first;
+    asio::cancellation_signal second;
+    bench.start(first);
+    bench.start(second);
+    REQUIRE(bench.upstreams.sent == 1);
+    REQUIRE(bench.gate.load(lookup).inFlight == 1);
+    REQUIRE(bench.gate.load(lookup).queued == 1);
+
+    SECTION("the waiting one leaves")
+    {
+        second.emit(asio::cancellation_type::terminal);
+        bench.context.poll();
+        CHECK(bench.ended == 1);
+        CHECK(bench.gate.load(lookup).queued == 0);
+        first.emit(asio::cancellation_type::terminal);
+        bench.context.poll();
+    }
+    SECTION("the running one leaves, and the other runs")
+    {
+        first.emit(asio::cancellation_type::terminal);
+        bench.context.poll();
+        CHECK(bench.upstreams.sent == 2);
+        CHECK(bench.gate.load(lookup).inFlight == 1);
+        second.emit(asio::cancellation_type::terminal);
+        bench.context.poll();
+    }
+    SECTION("both leave at once: the slot is granted to a request that has left")
+    {
+        first.emit(asio::cancellation_type::terminal);
+        // The first one's end is due next; behind it comes the second one's leaving, and only then its slot.
+        bench.context.poll_one();
+        asio::post(bench.context, [&] { second.emit(asio::cancellation_type::terminal); });
+        bench.context.poll();
+        CHECK(bench.upstreams.sent == 1);
+    }
+    CHECK(bench.ended == 2);
+    CHECK(bench.gate.load(lookup).inFlight == 0);
+    CHECK(bench.gate.load(lookup).queued == 0);
+}
