--- a/include/daemon/fleet_agent.h
+++ b/include/daemon/fleet_agent.h
@@ -29,7 +29,7 @@
     cap_table &caps;
     poison_registry &poison;
     peer_client &peers;
-    metrics &counters;
+    control_meter &meter;
     clock_source &clock;
     random_source &random;
     const topology &fleet;
@@ -82,6 +82,7 @@
     [[nodiscard]] std::uint64_t upstreamsDigest() const;
     void fetchFrom(const std::string &address, const host_name &root);
     void notifyChildren(const host_name &root);
+    void beginRound();
     void place();
     void placeCapSeat();
     [[nodiscard]] std::vector<host_name> candidatesFor(const domain_name &domain) const;
--- a/include/fleet/member_table.h
+++ b/include/fleet/member_table.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/names.h"
 #include "core/topology.h"
+#include "fleet/member_list.h"
 
 #include <cstdint>
 #include <map>
@@ -14,35 +15,6 @@
 namespace hornbeampick
 {
 
-enum class member_state {
-    alive,
-    suspect,
-    leaving,
-    dead,
-};
-
-/// One daemon of the fleet.
-struct fleet_member {
-    host_name host;
-    std::string httpAddress;
-    std::string rpcAddress;
-    region_name region;
-    domain_name domain;
-    // Rises with each start of the process.
-    std::uint64_t incarnation = 0;
-    // Rises with each change within an incarnation.
-    std::uint64_t sequence = 0;
-    member_state state = member_state::alive;
-
-    bool operator==(const fleet_member &) const = default;
-
-    /// Takes part in ownership and claims: alive, or suspected only.
-    [[nodiscard]] bool serves() const
-    {
-        return state == member_state::alive || state == member_state::suspect;
-    }
-};
-
 struct member_table_options {
     // A suspect that did not refute for this long is dead.
     milliseconds deadAfter {3000};
@@ -77,7 +49,7 @@
 
     [[nodiscard]] fleet_member self() const;
     [[nodiscard]] std::optional<fleet_member> find(const host_name &host) const;
-    [[nodiscard]] std::vector<fleet_member> members() const;
+    [[nodiscard]] member_list members() const;
     /// Members whose record changed within `freshFor`.
     [[nodiscard]] std::vector<fleet_member> fresh(steady_time now) const;
     /// Serving members of a failure domain, sorted by host.
@@ -106,6 +78,11 @@
     mutable std::mutex m_lock;
     std::map<host_name, record> m_records;
     std::uint64_t m_revision = 1;
+    // Of the revision that each was made at.
+    mutable std::optional<member_list> m_list;
+    mutable std::uint64_t m_listRevision = 0;
+    mutable std::uint64_t m_digest = 0;
+    mutable std::uint64_t m_digestRevision = 0;
 };
 
 } // namespace hornbeampick
--- a/include/observe/metrics.h
+++ b/include/observe/metrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/clock.h"
+#include "core/control_meter.h"
 #include "core/names.h"
 
 #include <memory>
@@ -11,11 +11,11 @@
 {
 
 /// Counters, gauges and histograms of one daemon, in Prometheus' text form. Thread-safe.
-class metrics
+class metrics final : public control_meter
 {
 public:
     metrics();
-    ~metrics();
+    ~metrics() override;
     metrics(const metrics &) = delete;
     metrics &operator=(const metrics &) = delete;
 
@@ -26,8 +26,8 @@
     void countRetry(const service_name &service);
     void countClaim(std::string_view outcome);
     void countLookup(const service_name &service);
-    /// Control work by mechanism: exchange, spread, replica, claim, announce.
-    void countControl(std::string_view mechanism, std::size_t bytes);
+    void onSent(std::string_view mechanism, std::size_t bytes) override;
+    void onWorked(std::string_view mechanism, microseconds processorTime) override;
     void setHeadroom(const service_name &service, const region_name &region, double freeSlots);
     void setRuleVersion(std::uint64_t version);
     void setReplicaRole(std::string_view role);
--- a/include/rpc/peer_client.h
+++ b/include/rpc/peer_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/control_meter.h"
 #include "replica/formation.h"
 #include "replica/replica_types.h"
 #include "replica/rule_ledger.h"
@@ -44,6 +45,8 @@
     virtual void submit(const std::string &address, const rules_change &change, bool relayed, milliseconds timeout, peer_done<submit_result> done) = 0;
     virtual void replicate(const std::string &address, const replica_message &message) = 0;
     virtual void form(const std::string &address, const form_request &request, std::function<void(const form_reply &)> done) = 0;
+    /// Cancels what is under way and waits until every `done` has returned. Not to be called from one.
+    virtual void cancelAll() = 0;
 };
 
 /// What a daemon does with the calls of others. Called from any thread; `done` may be called later.
@@ -69,14 +72,6 @@
     virtual void onForm(form_request request, std::function<void(const form_reply &)> done) = 0;
 };
 
-/// Told of the bytes that control calls send, by mechanism. Thread-safe.
-class traffic_meter
-{
-public:
-    virtual ~traffic_meter() = default;
-    virtual void onSent(std::string_view mechanism, std::size_t bytes) = 0;
-};
-
 /// Keys of one process. Files are read again when they change.
 struct tls_files {
     std::string certificate;
@@ -85,7 +80,7 @@
     bool plainText = false;
 };
 
-std::unique_ptr<peer_client> makeGrpcPeerClient(const tls_files &tls, traffic_meter *meter);
+std::unique_ptr<peer_client> makeGrpcPeerClient(const tls_files &tls, control_meter *meter);
 
 /// Listens for other daemons until destroyed.
 class peer_server
@@ -99,6 +94,6 @@
 };
 
 /// `handler` must outlive the server. Errors: ioFailed when the port is taken, tlsFailed.
-result<std::unique_ptr<peer_server>> makeGrpcPeerServer(const std::string &address, const tls_files &tls, peer_handler &handler, traffic_meter *meter);
+result<std::unique_ptr<peer_server>> makeGrpcPeerServer(const std::string &address, const tls_files &tls, peer_handler &handler, control_meter *meter);
 
 } // namespace hornbeampick
--- a/include/steering/request_gate.h
+++ b/include/steering/request_gate.h
@@ -54,6 +54,8 @@
     using placer = std::function<placement(const upstream_report &)>;
     void place(const placer &decide);
     void tick();
+    /// Drains that ended since the last call.
+    std::vector<milliseconds> takeDrains();
 
     [[nodiscard]] std::vector<service_load> loads() const;
     [[nodiscard]] pool_load load(const service_name &service) const;
--- a/include/steering/service_pool.h
+++ b/include/steering/service_pool.h
@@ -119,6 +119,9 @@
     /// Ends waits that are over, and gives out slots that became usable.
     pool_events tick(steady_time now);
 
+    /// How long upstreams that finished leaving took, from the end of new work to the last request; each is told once.
+    std::vector<milliseconds> takeDrains(steady_time now);
+
     [[nodiscard]] pool_load load(steady_time now) const;
     [[nodiscard]] std::vector<upstream_report> reports() const;
     [[nodiscard]] life_phase phaseOf(const instance_name &instance) const;
@@ -139,6 +142,9 @@
         steady_time answeredAt {};
         bool owned = false;
         bool drained = false;
+        // Since when it takes no new work while it runs what it has; absent once it is told of.
+        std::optional<steady_time> leavingSince;
+        bool leaves = false;
         steady_time usableFrom {};
         std::uint32_t inFlight = 0;
         // Work of a former owner that may still run there.
--- /dev/null
+++ b/src/core/control_meter.cpp
@@ -0,0 +1,35 @@
+#include "core/control_meter.h"
+
+#include <ctime>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+// Processor time of the calling thread.
+microseconds threadTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::duration_cast<microseconds>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+} // namespace
+
+control_work::control_work(control_meter *meter, std::string_view mechanism)
+    : m_meter(meter)
+    , m_mechanism(mechanism)
+    , m_begun(threadTime())
+{
+}
+
+control_work::~control_work()
+{
+    if (m_meter != nullptr) {
+        m_meter->onWorked(m_mechanism, threadTime() - m_begun);
+    }
+}
+
+} // namespace hornbeampick
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -19,6 +19,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <map>
 #include <thread>
 #include <vector>
 
@@ -57,22 +58,6 @@
     return names.at(static_cast<std::size_t>(role));
 }
 
-class traffic_counter final : public traffic_meter
-{
-public:
-    explicit traffic_counter(metrics &counters)
-        : m_counters(counters)
-    {
-    }
-    void onSent(std::string_view mechanism, std::size_t bytes) override
-    {
-        m_counters.countControl(mechanism, bytes);
-    }
-
-private:
-    metrics &m_counters;
-};
-
 // All parts in the order in which they depend on each other.
 class host_daemon final : public daemon, public status_source
 {
@@ -84,9 +69,8 @@
         , m_services(servicesOf(*m_settings))
         , m_random(operatingSystemSeed())
         , m_incarnation(static_cast<std::uint64_t>(m_clock.wallNow()))
-        , m_traffic(m_counters)
         , m_traces(m_settings->host(), m_settings->log().trace_file(), m_clock, m_random)
-        , m_peers(makeGrpcPeerClient(tlsOf(*m_settings), &m_traffic))
+        , m_peers(makeGrpcPeerClient(tlsOf(*m_settings), &m_counters))
         , m_upstreams(makeUpstreamClient({}))
         , m_members(selfOf(*m_settings, m_incarnation), {.deadAfter = milliseconds(m_settings->timing().dead_ms())})
         , m_claims({.incarnation = m_incarnation})
@@ -123,7 +107,7 @@
         m_submitter = std::make_unique<rule_submitter>(rule_submitter_parts {m_replica.get(), *m_peers, m_fleet, m_clock, m_rules}, m_services,
                                                        voterAddresses(*m_settings));
         m_endpoint = std::make_unique<peer_endpoint>(endpointParts());
-        auto server = makeGrpcPeerServer(addressOf(rpc.address(), static_cast<int>(rpc.port())), tlsOf(*m_settings), *m_endpoint, &m_traffic);
+        auto server = makeGrpcPeerServer(addressOf(rpc.address(), static_cast<int>(rpc.port())), tlsOf(*m_settings), *m_endpoint, &m_counters);
         if (!server) {
             return server.error();
         }
@@ -198,6 +182,13 @@
         for (const auto &load : m_endpoint->onLoads()) {
             m_counters.setHeadroom(load.service, load.region, static_cast<double>(load.load.slots) - load.load.inFlight);
         }
+        std::map<member_state, std::size_t> counts {{member_state::alive, 0}, {member_state::suspect, 0}, {member_state::leaving, 0}, {member_state::dead, 0}};
+        for (const auto &member : m_members.members()) {
+            ++counts[member.state];
+        }
+        for (const auto &[state, count] : counts) {
+            m_counters.setMembers(textOf(state), count);
+        }
         return m_counters.text();
     }
 
@@ -236,7 +227,13 @@
     {
         asio::steady_timer timer(co_await asio::this_coro::executor);
         while (true) {
-            m_gate.tick();
+            {
+                const control_work work(&m_counters, "admission");
+                m_gate.tick();
+                for (const auto drained : m_gate.takeDrains()) {
+                    m_counters.observeDrain("upstream", drained);
+                }
+            }
             timer.expires_after(gateTick);
             co_await timer.async_wait(noThrow);
         }
@@ -246,7 +243,10 @@
     {
         asio::steady_timer timer(co_await asio::this_coro::executor);
         while (true) {
-            rebuildTable();
+            {
+                const control_work work(&m_counters, "steering");
+                rebuildTable();
+            }
             m_poison.tick(m_clock.now());
             timer.expires_after(tableTick);
             co_await timer.async_wait(noThrow);
@@ -350,7 +350,6 @@
     seeded_random_source m_random;
     std::uint64_t m_incarnation;
     metrics m_counters;
-    traffic_counter m_traffic;
     tracer m_traces;
     std::unique_ptr<peer_client> m_peers;
     std::unique_ptr<upstream_client> m_upstreams;
@@ -358,6 +357,8 @@
     claim_store m_claims;
     epoch_table m_epochs;
     cap_table m_caps;
+        // What is still under way refers to the parts.
+        m_peers->cancelAll();
     rule_keeper m_rules;
     request_gate m_gate;
     poison_registry m_poison;
--- a/src/daemon/fleet_agent.cpp
+++ b/src/daemon/fleet_agent.cpp
@@ -52,20 +52,25 @@
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
     while (!m_stopped) {
-        const auto now = m_parts.clock.now();
-        m_parts.members.tick(now);
-        place();
-        placeCapSeat();
-        const auto members = m_parts.members.members();
-        const auto watch = watched();
-        for (const auto &target : m_planner.round(members, watch, m_parts.random)) {
-            exchangeWith(target);
-        }
+        beginRound();
         timer.expires_after(m_options.exchangeEvery);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
 
+void fleet_agent::beginRound()
+{
+    const control_work work(&m_parts.meter, "exchange");
+    m_parts.members.tick(m_parts.clock.now());
+    place();
+    placeCapSeat();
+    const auto members = m_parts.members.members();
+    const auto watch = watched();
+    for (const auto &target : m_planner.round(members, watch, m_parts.random)) {
+        exchangeWith(target);
+    }
+}
+
 void fleet_agent::stop()
 {
     m_stopped = true;
@@ -182,7 +187,12 @@
     const auto now = m_parts.clock.now();
     exchange_message message;
     message.sender = m_parts.members.self();
-    message.members = whole ? m_parts.members.members() : m_parts.members.fresh(now);
+    if (whole) {
+        const auto all = m_parts.members.members();
+        message.members.assign(all.begin(), all.end());
+    } else {
+        message.members = m_parts.members.fresh(now);
+    }
     message.membersDigest = m_parts.members.tableDigest();
     message.upstreamsDigest = upstreamsDigest();
     message.appliedIndex = m_parts.rules.state()->appliedIndex;
@@ -265,6 +275,7 @@
         if (!reply || !reply.value()) {
             return;
         }
+        const control_work work(&m_parts.meter, "spread");
         const auto updated = m_parts.rules.update(*reply.value());
         // Patches that do not fit are repaired by the next exchange, with the whole text.
         m_wholeWanted = !updated;
--- a/src/daemon/front_end.cpp
+++ b/src/daemon/front_end.cpp
@@ -227,13 +227,12 @@
 {
     const auto own = m_parts.status.hostStatus();
     json::array members;
-    constexpr std::array states {"alive", "suspect", "leaving", "dead"};
     for (const auto &member : m_parts.members.members()) {
         members.push_back(json::object {
             {"host", member.host.view()},
             {"region", member.region.view()},
             {"failureDomain", member.domain.view()},
-            {"state", states.at(static_cast<std::size_t>(member.state))},
+            {"state", textOf(member.state)},
             {"httpAddress", member.httpAddress},
             {"rpcAddress", member.rpcAddress},
         });
--- a/src/fleet/member_table.cpp
+++ b/src/fleet/member_table.cpp
@@ -45,6 +45,7 @@
     auto &self = m_records[m_self].member;
     self.httpAddress = std::move(httpAddress);
     self.rpcAddress = std::move(rpcAddress);
+    ++m_revision;
 }
 
 bool member_table::merge(const fleet_member &heard, steady_time now)
@@ -131,10 +132,14 @@
     return found->second.member;
 }
 
-std::vector<fleet_member> member_table::members() const
+member_list member_table::members() const
 {
     const std::lock_guard guard(m_lock);
-    return select(m_records, [](const record &) { return true; });
+    if (m_listRevision != m_revision) {
+        m_list.emplace(select(m_records, [](const record &) { return true; }));
+        m_listRevision = m_revision;
+    }
+    return *m_list;
 }
 
 std::vector<fleet_member> member_table::fresh(steady_time now) const
@@ -167,11 +172,16 @@
 std::uint64_t member_table::tableDigest() const
 {
     const std::lock_guard guard(m_lock);
+    if (m_digestRevision == m_revision) {
+        return m_digest;
+    }
     std::uint64_t total = 0;
     for (const auto &[host, each] : m_records) {
         const std::uint64_t seed = (each.member.incarnation ^ (each.member.sequence << 1U)) + static_cast<std::uint64_t>(each.member.state);
         total ^= stableHash(host.view(), seed);
     }
+    m_digest = total;
+    m_digestRevision = m_revision;
     return total;
 }
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -52,6 +52,10 @@
         = prometheus::BuildCounter().Name("hornbeampick_control_bytes_total").Help("Control bytes sent by mechanism").Register(registry);
     prometheus::Family<prometheus::Counter> &controlMessages
         = prometheus::BuildCounter().Name("hornbeampick_control_messages_total").Help("Control messages sent by mechanism").Register(registry);
+    prometheus::Family<prometheus::Counter> &controlProcessor = prometheus::BuildCounter()
+                                                                    .Name("hornbeampick_control_processor_seconds_total")
+                                                                    .Help("Processor time of control work by mechanism, without the transport's")
+                                                                    .Register(registry);
     prometheus::Family<prometheus::Gauge> &headroom
         = prometheus::BuildGauge().Name("hornbeampick_headroom_slots").Help("Free slots by service and region").Register(registry);
     prometheus::Family<prometheus::Gauge> &ruleVersion
@@ -97,12 +101,17 @@
     m_families->lookups.Add({{"service", service.string()}}).Increment();
 }
 
-void metrics::countControl(std::string_view mechanism, std::size_t bytes)
+void metrics::onSent(std::string_view mechanism, std::size_t bytes)
 {
     m_families->controlBytes.Add({{"mechanism", std::string(mechanism)}}).Increment(static_cast<double>(bytes));
     m_families->controlMessages.Add({{"mechanism", std::string(mechanism)}}).Increment();
 }
 
+void metrics::onWorked(std::string_view mechanism, microseconds processorTime)
+{
+    m_families->controlProcessor.Add({{"mechanism", std::string(mechanism)}}).Increment(toSeconds(processorTime));
+}
+
 void metrics::setHeadroom(const service_name &service, const region_name &region, double freeSlots)
 {
     m_families->headroom.Add({{"service", service.string()}, {"region", region.string()}}).Set(freeSlots);
--- a/src/rpc/grpc_peer_client.cpp
+++ b/src/rpc/grpc_peer_client.cpp
@@ -72,7 +72,7 @@
 class grpc_peer_client final : public peer_client
 {
 public:
-    grpc_peer_client(const tls_files &tls, traffic_meter *meter)
+    grpc_peer_client(const tls_files &tls, control_meter *meter)
         : m_credentials(makeChannelCredentials(tls))
         , m_meter(meter)
     {
@@ -80,7 +80,7 @@
 
     ~grpc_peer_client() override
     {
-        m_calls.drain();
+        grpc_peer_client::cancelAll();
     }
 
     grpc_peer_client(const grpc_peer_client &) = delete;
@@ -197,6 +197,11 @@
                                  });
     }
 
+    void cancelAll() override
+    {
+        m_calls.drain();
+    }
+
 private:
     using stub_async = schema::peer::StubInterface::async_interface;
 
@@ -254,14 +259,14 @@
     }
 
     std::shared_ptr<grpc::ChannelCredentials> m_credentials;
-    traffic_meter *m_meter;
+    control_meter *m_meter;
     shards<connection_map> m_connections;
     live_calls m_calls;
 };
 
 } // namespace
 
-std::unique_ptr<peer_client> makeGrpcPeerClient(const tls_files &tls, traffic_meter *meter)
+std::unique_ptr<peer_client> makeGrpcPeerClient(const tls_files &tls, control_meter *meter)
 {
     return std::make_unique<grpc_peer_client>(tls, meter);
 }
--- a/src/rpc/grpc_peer_server.cpp
+++ b/src/rpc/grpc_peer_server.cpp
@@ -80,7 +80,7 @@
 class peer_service final : public schema::peer::CallbackService
 {
 public:
-    peer_service(peer_handler &handler, traffic_meter *meter)
+    peer_service(peer_handler &handler, control_meter *meter)
         : m_handler(handler)
         , m_meter(meter)
     {
@@ -88,6 +88,7 @@
 
     grpc::ServerUnaryReactor *exchange(context_pointer context, const schema::exchange_request *request, schema::exchange_reply *reply) override
     {
+        const control_work work(m_meter, "exchange");
         *reply = encodeReply(m_handler.onExchange(decode(*request)));
         count("exchange", *reply);
         return finish(context);
@@ -95,6 +96,7 @@
 
     grpc::ServerUnaryReactor *fetch_rules(context_pointer context, const schema::rules_request *request, schema::rules_reply *reply) override
     {
+        const control_work work(m_meter, "spread");
         if (const auto update = m_handler.onFetchRules(decode(*request))) {
             *reply = encode(*update);
         }
@@ -104,12 +106,14 @@
 
     grpc::ServerUnaryReactor *notify_rules(context_pointer context, const schema::rules_notice *request, schema::empty *) override
     {
+        const control_work work(m_meter, "spread");
         m_handler.onNotifyRules({.appliedIndex = request->applied_index(), .root = host_name(request->root()), .tellerAddress = request->teller_address()});
         return finish(context);
     }
 
     grpc::ServerUnaryReactor *relay_announce(context_pointer context, const schema::upstream *request, schema::empty *) override
     {
+        const control_work work(m_meter, "announce");
         m_handler.onRelayAnnounce(decode(*request));
         return finish(context);
     }
@@ -128,6 +132,7 @@
 
     grpc::ServerUnaryReactor *claim(context_pointer context, const schema::claim_request *request, schema::claim_reply *reply) override
     {
+        const control_work work(m_meter, "claim");
         *reply = encode(m_handler.onClaim(decode(*request)));
         count("claim", *reply);
         return finish(context);
@@ -135,6 +140,7 @@
 
     grpc::ServerUnaryReactor *report_poison(context_pointer context, const schema::poison_notice *request, schema::empty *) override
     {
+        const control_work work(m_meter, "poison");
         m_handler.onPoison(decode(*request));
         return finish(context);
     }
@@ -185,6 +191,7 @@
 
     grpc::ServerUnaryReactor *replicate(context_pointer context, const schema::replica_message *request, schema::empty *) override
     {
+        const control_work work(m_meter, "replica");
         m_handler.onReplicate(decode(*request));
         return finish(context);
     }
@@ -215,13 +222,13 @@
     }
 
     peer_handler &m_handler;
-    traffic_meter *m_meter;
+    control_meter *m_meter;
 };
 
 class grpc_peer_server final : public peer_server
 {
 public:
-    grpc_peer_server(peer_handler &handler, traffic_meter *meter)
+    grpc_peer_server(peer_handler &handler, control_meter *meter)
         : m_service(handler, meter)
     {
     }
@@ -264,7 +271,7 @@
 
 } // namespace
 
-result<std::unique_ptr<peer_server>> makeGrpcPeerServer(const std::string &address, const tls_files &tls, peer_handler &handler, traffic_meter *meter)
+result<std::unique_ptr<peer_server>> makeGrpcPeerServer(const std::string &address, const tls_files &tls, peer_handler &handler, control_meter *meter)
 {
     auto server = std::make_unique<grpc_peer_server>(handler, meter);
     if (!server->listen(address, tls)) {
--- a/src/steering/request_gate.cpp
+++ b/src/steering/request_gate.cpp
@@ -2,6 +2,9 @@
 
 #include "core/digest.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace hornbeampick
 {
 
@@ -109,6 +112,17 @@
     deliver(deliveries);
 }
 
+std::vector<milliseconds> request_gate::takeDrains()
+{
+    std::vector<milliseconds> drains;
+    m_entries.each([&](entries &all) {
+        for (auto &[service, each] : all) {
+            std::ranges::copy(each.pool->takeDrains(m_clock.now()), std::back_inserter(drains));
+        }
+    });
+    return drains;
+}
+
 std::vector<service_load> request_gate::loads() const
 {
     std::vector<service_load> loads;
--- a/src/steering/service_pool.cpp
+++ b/src/steering/service_pool.cpp
@@ -163,6 +163,25 @@
     return events;
 }
 
+std::vector<milliseconds> service_pool::takeDrains(steady_time now)
+{
+    std::vector<milliseconds> drains;
+    for (auto &[instance, each] : m_upstreams) {
+        const bool leaves = each.owned && (each.drained || each.life.phase() == life_phase::draining);
+        if (leaves && !each.leaves) {
+            each.leavingSince = now;
+        }
+        each.leaves = leaves;
+        if (!leaves) {
+            each.leavingSince.reset();
+        } else if (each.leavingSince && each.inFlight == 0) {
+            drains.push_back(std::chrono::duration_cast<milliseconds>(now - *each.leavingSince));
+            each.leavingSince.reset();
+        }
+    }
+    return drains;
+}
+
 pool_load service_pool::load(steady_time now) const
 {
     pool_load load;
--- a/src/tool/output.cpp
+++ b/src/tool/output.cpp
@@ -19,12 +19,6 @@
 constexpr int wideWidth = 22;
 constexpr int numberWidth = 10;
 
-std::string_view textOf(member_state state)
-{
-    constexpr std::array names {"alive", "suspect", "leaving", "dead"};
-    return names.at(static_cast<std::size_t>(state));
-}
-
 json::object hostObject(const host_status &host)
 {
     return {
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -98,7 +98,7 @@
         }
         tables[to]->merge(tables[from]->self(), now);
         tables[to]->onHeard(tables[from]->self().host, now);
-        for (const auto &member : differ ? tables[to]->members() : tables[to]->fresh(now)) {
+        for (const auto &member : differ ? tables[to]->members() : member_list(tables[to]->fresh(now))) {
             tables[from]->merge(member, now);
         }
         tables[from]->merge(tables[to]->self(), now);
