--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,6 +1,7 @@
 // The bench: one binary, cases by name.
 
 #include "control_cost.h"
+#include "headroom_model.h"
 #include "steering/steering_table.h"
 #include "steering_model.h"
 
@@ -175,12 +176,15 @@
 
 int main(int argc, char **argv)
 {
-    cxxopts::Options options("hb_bench", "Measures decisions. Cases: policy, lookup, fleet, change.");
+    cxxopts::Options options("hb_bench", "Measures decisions. Cases: policy, headroom, lookup, fleet, change.");
     options.add_options()("case", "case to run; all without", cxxopts::value<std::string>()->default_value(""));
     const auto wanted = options.parse(argc, argv)["case"].as<std::string>();
     if (wanted.empty() || wanted == "policy") {
         policyTables();
     }
+    if (wanted.empty() || wanted == "headroom") {
+        headroomTables();
+    }
     if (wanted.empty() || wanted == "lookup") {
         lookUpTables();
     }
--- a/include/steering/load_view.h
+++ b/include/steering/load_view.h
@@ -21,6 +21,9 @@
     std::int64_t free = 0;
 };
 
+/// Adds what this host itself can admit to the sums by region.
+void addLoad(std::vector<region_load> &regions, const region_name &region, const pool_load &load);
+
 /// What other hosts can admit, by their own reports and this host's requests to them since.
 /// Thread-safe, a lock a shard of services.
 class load_view
--- a/include/steering/steering_table.h
+++ b/include/steering/steering_table.h
@@ -5,6 +5,8 @@
 #include "core/topology.h"
 #include "fleet/member_table.h"
 #include "rules/rule_set.h"
+#include "steering/headroom_balance.h"
+#include "steering/region_load.h"
 
 #include <array>
 #include <cstdint>
@@ -25,18 +27,13 @@
     homeDrained,
     homeResting,
     homeHasNoHost,
+    // The service puts headroom first, and other regions have more.
+    homeBusy,
     nowhere,
 };
 
 std::string_view textOf(steering_reason reason);
 
-/// A region's slots of one service, as hosts reported them last.
-struct region_load {
-    region_name region;
-    std::uint32_t slots = 0;
-    std::uint32_t inFlight = 0;
-};
-
 /// What a steering table is made of.
 struct steering_inputs {
     // Null before the first rules are in force.
@@ -46,6 +43,8 @@
     std::span<const fleet_member> members;
     // By service, in the order of `services`; empty: unknown.
     std::span<const std::vector<region_load>> loads;
+    // By service, then by home region; empty: nothing is given away.
+    std::span<const std::vector<headroom_move>> moves;
     // Region of clients that no block holds.
     region_name localRegion;
     wall_ms now = 0;
@@ -125,6 +124,7 @@
     [[nodiscard]] bool available(const steering_inputs &inputs, const service_name &service, region_index region) const;
     [[nodiscard]] cell makeCell(const steering_inputs &inputs, std::size_t service, region_index home) const;
     void addShifts(cell &made, const steering_inputs &inputs, const service_name &service, region_index home) const;
+    void addMove(cell &made, const steering_inputs &inputs, std::size_t service, region_index home) const;
     void addSpread(cell &made, const steering_inputs &inputs, std::size_t service, steering_reason reason) const;
     [[nodiscard]] steering_reason whyNotHome(const steering_inputs &inputs, const service_name &service, region_index home) const;
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -259,20 +259,38 @@
         const auto now = m_clock.now();
         for (const auto &service : m_services) {
             loads.push_back(m_loads.regions(service, now));
+            addLoad(loads.back(), m_self.region, m_gate.load(service));
         }
         const auto members = m_members.members();
+        const auto moves = headroomMoves(loads, now);
         m_table.set(std::make_shared<const steering_table>(steering_inputs {
             .rules = m_rules.rules(),
             .regions = m_fleet.regions(),
             .services = m_services,
             .members = members,
             .loads = loads,
+            .moves = moves,
             .localRegion = m_self.region,
             .now = m_clock.wallNow(),
             .lookupTtl = milliseconds(m_settings->timing().lookup_ttl_ms()),
         }));
     }
 
+    // By service and home region; nothing for services that put latency first.
+    std::vector<std::vector<headroom_move>> headroomMoves(std::span<const std::vector<region_load>> loads, steady_time now)
+    {
+        std::vector<std::vector<headroom_move>> moves(m_services.size());
+        for (std::size_t service = 0; service < m_services.size(); ++service) {
+            if (!m_settings->services(static_cast<int>(service)).headroom_first()) {
+                continue;
+            }
+            for (const auto &region : m_fleet.regions()) {
+                moves[service].push_back(m_balance.update(m_services[service], region.name, loads[service], now));
+            }
+        }
+        return moves;
+    }
+
     // The leader opens the claim epochs.
     asio::awaitable<void> keepEpochs()
     {
@@ -340,6 +358,8 @@
         if (m_server) {
             m_server->stop(milliseconds(0));
         }
+        // What is still under way refers to the parts.
+        m_peers->cancelAll();
     }
 
     std::shared_ptr<const schema::daemon_settings> m_settings;
@@ -357,13 +377,12 @@
     claim_store m_claims;
     epoch_table m_epochs;
     cap_table m_caps;
-        // What is still under way refers to the parts.
-        m_peers->cancelAll();
     rule_keeper m_rules;
     request_gate m_gate;
     poison_registry m_poison;
     retry_budget m_budget;
     load_view m_loads;
+    headroom_balance m_balance;
     epoch_keeper m_epochKeeper;
     published<steering_table> m_table;
     fleet_agent m_agent;
--- a/src/daemon/peer_endpoint.cpp
+++ b/src/daemon/peer_endpoint.cpp
@@ -229,13 +229,7 @@
     const auto now = m_parts.clock.now();
     for (const auto &service : m_parts.services) {
         auto regions = m_parts.loads.regions(service, now);
-        const auto own = m_parts.gate.load(service);
-        auto mine = std::ranges::find(regions, m_parts.self.region, &region_load::region);
-        if (mine == regions.end()) {
-            mine = regions.insert(regions.end(), {.region = m_parts.self.region, .slots = 0, .inFlight = 0});
-        }
-        mine->slots += own.slots;
-        mine->inFlight += own.inFlight;
+        addLoad(regions, m_parts.self.region, m_parts.gate.load(service));
         for (const auto &region : regions) {
             loads.push_back({.service = service, .region = region.region, .load = {.slots = region.slots, .inFlight = region.inFlight, .queued = 0}});
         }
--- a/src/daemon/request_carrier.cpp
+++ b/src/daemon/request_carrier.cpp
@@ -218,7 +218,7 @@
     bool tried = false;
     for (const auto &region : regionOrder(*table, choice)) {
         auto answer = co_await tryRegion(request.carried, region);
-        const bool again = worthAnotherRegion(answer, request.carried.shifted);
+        const bool again = worthAnotherRegion(answer, request.carried.shifted || choice.reason == steering_reason::homeBusy);
         if (!tried || !worthAnotherHost(answer)) {
             first = std::move(answer);
         }
@@ -284,14 +284,20 @@
 
 std::vector<region_name> request_carrier::regionOrder(const steering_table &table, const steering_choice &choice) const
 {
-    std::vector<region_name> order {table.region(choice.destination)};
+    std::vector<region_name> order;
+    // A caller that came to its busy home all the same is served there when that is possible: the links are dearer.
+    if (choice.reason == steering_reason::homeBusy && m_parts.self.region == table.region(choice.home)) {
+        order.push_back(table.region(choice.home));
+    }
+    order.push_back(table.region(choice.destination));
     const auto add = [&](const region_name &region) {
         if (std::ranges::find(order, region) == order.end()) {
             order.push_back(region);
         }
     };
     // A drained home is left alone; a shift's excess stays at home.
-    const bool homeServes = choice.reason == steering_reason::home || choice.reason == steering_reason::noBlock || choice.shifted();
+    const bool homeServes
+        = choice.reason == steering_reason::home || choice.reason == steering_reason::noBlock || choice.reason == steering_reason::homeBusy || choice.shifted();
     if (homeServes) {
         add(table.region(choice.home));
     }
--- a/src/steering/load_view.cpp
+++ b/src/steering/load_view.cpp
@@ -3,6 +3,7 @@
 #include "core/digest.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace hornbeampick
 {
@@ -81,6 +82,17 @@
     return chosen;
 }
 
+void addLoad(std::vector<region_load> &regions, const region_name &region, const pool_load &load)
+{
+    auto sum = std::ranges::find(regions, region, &region_load::region);
+    if (sum == regions.end()) {
+        regions.push_back({.region = region});
+        sum = std::prev(regions.end());
+    }
+    sum->slots += load.slots;
+    sum->inFlight += load.inFlight;
+}
+
 std::vector<region_load> load_view::regions(const service_name &service, steady_time now) const
 {
     std::map<region_name, region_load> sums;
--- a/src/steering/steering_table.cpp
+++ b/src/steering/steering_table.cpp
@@ -59,6 +59,8 @@
         return "home-resting";
     case steering_reason::homeHasNoHost:
         return "home-has-no-host";
+    case steering_reason::homeBusy:
+        return "home-busy";
     case steering_reason::nowhere:
         return "nowhere";
     }
@@ -216,6 +218,8 @@
     const auto why = whyNotHome(inputs, m_services[service], home);
     if (why != steering_reason::home) {
         addSpread(made, inputs, service, why);
+    } else {
+        addMove(made, inputs, service, home);
     }
     return made;
 }
@@ -237,6 +241,32 @@
     }
 }
 
+// Gives a busy home's share to regions with more headroom, out of what no shift moves.
+void steering_table::addMove(cell &made, const steering_inputs &inputs, std::size_t service, region_index home) const
+{
+    if (service >= inputs.moves.size() || home >= inputs.moves[service].size()) {
+        return;
+    }
+    const headroom_move &move = inputs.moves[service][home];
+    std::vector<std::pair<region_index, double>> takers;
+    double total = 0;
+    for (const auto &taker : move.takers) {
+        const region_index region = indexOf(taker.region);
+        if (region != block_table::noHome && available(inputs, m_services[service], region)) {
+            takers.emplace_back(region, taker.weight);
+            total += taker.weight;
+        }
+    }
+    const std::uint64_t start = made.parts.empty() ? 0 : made.parts.back().limit;
+    double sum = 0;
+    for (const auto &[region, weight] : takers) {
+        sum += weight;
+        const double given = move.share * sum / total * static_cast<double>(wholeRange - start);
+        made.parts.push_back(
+            {.limit = static_cast<std::uint32_t>(start + static_cast<std::uint64_t>(given)), .destination = region, .reason = steering_reason::homeBusy});
+    }
+}
+
 // Spreads a home that cannot serve over the other regions, by their slots.
 void steering_table::addSpread(cell &made, const steering_inputs &inputs, std::size_t service, steering_reason reason) const
 {
