--- a/bench/control_cost.cpp
+++ b/bench/control_cost.cpp
@@ -78,7 +78,7 @@
     const double packMs = millisOnce([&] { text = rule_document(first); });
     const double parseMs = millisOnce([&] { rules = parseRules(text, "bench", nullptr).rules; });
     ledger.apply(
-        {.index = 1, .term = 1, .body = rules_change {.version = 1, .body = first, .operatorName = "ann", .submittedAt = 1, .content = text.content()}});
+        {.index = 1, .term = 1, .body = rules_change {.version = 1, .body = text, .operatorName = "ann", .submittedAt = 1, .content = text.content()}});
 
     std::vector<double> inForceMs;
     double diffMs = 0;
@@ -86,8 +86,8 @@
     std::size_t replyBytes = 0;
     for (std::size_t round = 1; round <= rounds; ++round) {
         const std::uint64_t version = round + 1;
-        const std::string next = ruleFile(version, blocks, blocks / rounds * (round - 1));
-        const rules_change whole {.version = version, .body = next, .operatorName = "ann", .submittedAt = 1, .content = rule_document(next).content()};
+        const rule_document next(ruleFile(version, blocks, blocks / rounds * (round - 1)));
+        const rules_change whole {.version = version, .body = next, .operatorName = "ann", .submittedAt = 1, .content = next.content()};
         rules_change shortened;
         diffMs += millisOnce([&] { shortened = ledger.shortened(whole); }) / rounds;
         const log_entry entry {.index = version, .term = 1, .body = shortened};
--- a/include/rules/rule_document.h
+++ b/include/rules/rule_document.h
@@ -128,7 +128,10 @@
 rule_patch makePatch(const rule_document &before, const rule_document &after);
 
 /// A rule file on its way: whole, or as the way from a text that the receiver has.
-using rule_body = std::variant<std::string, rule_patch>;
+using rule_body = std::variant<rule_document, rule_patch>;
+
+/// Digest of the text that the body leads to.
+const digest &contentOf(const rule_body &body);
 
 /// Empty when a patch does not fit `base`.
 std::optional<rule_document> resolve(const rule_body &body, const rule_document &base);
--- a/src/codec/replica_codec.cpp
+++ b/src/codec/replica_codec.cpp
@@ -107,7 +107,7 @@
     schema::rules_change message;
     message.set_version(value.version);
     std::visit(overloaded {
-                   [&](const std::string &text) { message.set_text(text); },
+                   [&](const rule_document &whole) { message.set_text(whole.text()); },
                    [&](const rule_patch &patch) { *message.mutable_patch() = encode(patch); },
                },
                value.body);
@@ -121,7 +121,7 @@
 {
     return {
         .version = value.version(),
-        .body = value.has_patch() ? rule_body(decode(value.patch())) : rule_body(value.text()),
+        .body = value.has_patch() ? rule_body(decode(value.patch())) : rule_body(rule_document(value.text())),
         .operatorName = value.operator_name(),
         .submittedAt = static_cast<wall_ms>(value.submitted_at_ms()),
         .content = digestFromBytes(value.digest()),
--- a/src/daemon/rule_keeper.cpp
+++ b/src/daemon/rule_keeper.cpp
@@ -1,11 +1,20 @@
 #include "daemon/rule_keeper.h"
 
+#include "core/free_memory.h"
 #include "observe/log.h"
 #include "rules/rule_parser.h"
 
 namespace hornbeampick
 {
 
+namespace
+{
+
+// Reading a first text of this size leaves much free memory behind.
+constexpr std::size_t largeTextBytes = 1 << 20;
+
+} // namespace
+
 rule_keeper::rule_keeper(epoch_table &epochs, claim_store &claims, cap_table &caps, clock_source &clock)
     : m_epochs(epochs)
     , m_claims(claims)
@@ -40,6 +49,9 @@
     }
     m_window.note(*known, state);
     m_state.set(std::make_shared<const ledger_state>(state));
+    if (known->text.empty() && state.text.bytes() > largeTextBytes) {
+        releaseFreeMemory();
+    }
     return true;
 }
 
--- a/src/hornbeampickd.cpp
+++ b/src/hornbeampickd.cpp
@@ -6,6 +6,7 @@
 
 #include <cxxopts.hpp>
 #include <iostream>
+#include <malloc.h>
 
 namespace
 {
@@ -18,8 +19,12 @@
 constexpr int exitSettings = 3;
 constexpr int exitStart = 4;
 
+// A whole rule file passes through now and then; larger pieces go back to the system as soon as they are free.
+constexpr int mappedFromBytes = 256 << 10;
+
 int serve(const std::string &path)
 {
+    mallopt(M_MMAP_THRESHOLD, mappedFromBytes);
     const auto parsed = loadSettings(path);
     for (const auto &error : parsed.errors) {
         std::cerr << error.text() << "\n";
--- a/src/replica/rule_ledger.cpp
+++ b/src/replica/rule_ledger.cpp
@@ -43,13 +43,13 @@
 
 rules_change rule_ledger::shortened(rules_change change) const
 {
-    const auto *whole = std::get_if<std::string>(&change.body);
+    const auto *whole = std::get_if<rule_document>(&change.body);
     const bool follows = m_state.version > 0 && change.version == m_state.version + 1;
     if (whole == nullptr || !follows) {
         return change;
     }
-    rule_patch patch = makePatch(m_state.text, rule_document(*whole));
-    if (patch.bytes() < whole->size()) {
+    rule_patch patch = makePatch(m_state.text, *whole);
+    if (patch.bytes() < whole->bytes()) {
         change.body = std::move(patch);
     }
     return change;
--- a/src/rpc/grpc_peer_client.cpp
+++ b/src/rpc/grpc_peer_client.cpp
@@ -225,7 +225,7 @@
         if (m_meter != nullptr && !mechanism.empty()) {
             m_meter->onSent(mechanism, state->request.ByteSizeLong());
         }
-        const std::weak_ptr context = state->context;
+        std::weak_ptr context = state->context;
         stub_async *async = stubFor(address).async();
         const auto &running = *state;
         auto *received = &state->reply;
--- a/src/rules/rule_document.cpp
+++ b/src/rules/rule_document.cpp
@@ -378,10 +378,18 @@
     return {.base = before.content(), .result = after.content(), .edits = patch_finder().find(before.chunks(), after.chunks())};
 }
 
+const digest &contentOf(const rule_body &body)
+{
+    if (const auto *patch = std::get_if<rule_patch>(&body)) {
+        return patch->result;
+    }
+    return std::get<rule_document>(body).content();
+}
+
 std::optional<rule_document> resolve(const rule_body &body, const rule_document &base)
 {
     return std::visit(overloaded {
-                          [](const std::string &text) { return std::optional(rule_document(text)); },
+                          [](const rule_document &whole) { return std::optional(whole); },
                           [&](const rule_patch &patch) { return base.patched(patch); },
                       },
                       body);
--- a/src/rules/rule_parser.cpp
+++ b/src/rules/rule_parser.cpp
@@ -76,7 +76,7 @@
         const auto [first, last] = m_known.equal_range(chunk->content());
         const auto known = std::find_if(first, last, [this](const auto &each) { return each.second->versionBefore == m_versionSeen; });
         if (known != last) {
-            const part_pointer part = known->second;
+            part_pointer part = known->second;
             // Each counts once: a chunk that stands twice has its blocks twice.
             m_known.erase(known);
             return part;
--- a/src/tool/tool.cpp
+++ b/src/tool/tool.cpp
@@ -165,20 +165,20 @@
         if (!rules) {
             return exit_code::refused;
         }
-        const auto answer = submit(rules->version, text, rule_document(text).content());
+        const auto answer = submit(rules->version, rule_document(text));
         if (!answer) {
             return failed(answer.error());
         }
         return report(answer.value());
     }
 
-    result<submit_result> submit(std::uint64_t version, rule_body body, const digest &content)
+    result<submit_result> submit(std::uint64_t version, rule_body body)
     {
         rules_change change;
         change.version = version;
+        change.content = contentOf(body);
         change.body = std::move(body);
         change.operatorName = m_command.operatorName;
-        change.content = content;
         return m_client->submit(change);
     }
 
@@ -307,8 +307,8 @@
             if (!parse("drain", text)) {
                 return exit_code::refused;
             }
-            const auto patch = makePatch(current.text, rule_document(text));
-            const auto answer = current.version == 0 ? submit(version, text, patch.result) : submit(version, patch, patch.result);
+            const rule_document changed(text);
+            const auto answer = current.version == 0 ? submit(version, changed) : submit(version, makePatch(current.text, changed));
             if (!answer) {
                 return failed(answer.error());
             }
--- a/tests/fakes/replica_cluster.cpp
+++ b/tests/fakes/replica_cluster.cpp
@@ -331,8 +331,9 @@
     change.version = version;
     const std::string text = "version " + std::to_string(version) + "\n# " + std::string(note) + "\n";
     change.operatorName = std::string(operatorName);
-    change.body = text;
-    change.content = rule_document(text).content();
+    const rule_document whole(text);
+    change.content = whole.content();
+    change.body = whole;
     return change;
 }
 
--- a/tests/integration/recovery_test.cpp
+++ b/tests/integration/recovery_test.cpp
@@ -68,7 +68,8 @@
     }
     for (std::uint64_t version = first; version <= last; ++version) {
         const std::string text = rulesOf(version, "change " + std::to_string(version));
-        const rules_change change {.version = version, .body = text, .operatorName = "ann", .submittedAt = 0, .content = rule_document(text).content()};
+        const rules_change change {
+            .version = version, .body = rule_document(text), .operatorName = "ann", .submittedAt = 0, .content = rule_document(text).content()};
         operator_client client(*peers, hosts, milliseconds(20000), clock);
         const auto answer = client.submit(change);
         REQUIRE(answer);
--- a/tests/replica/rule_update_test.cpp
+++ b/tests/replica/rule_update_test.cpp
@@ -21,8 +21,8 @@
 
 rules_change changeTo(std::uint64_t version)
 {
-    const std::string text = textOf(version);
-    return {.version = version, .body = text, .operatorName = "ann", .submittedAt = 1, .content = rule_document(text).content()};
+    const rule_document text(textOf(version));
+    return {.version = version, .body = text, .operatorName = "ann", .submittedAt = 1, .content = text.content()};
 }
 
 // Brings the ledger to a version as the log would.
