--- a/include/replica/replica_core.h
+++ b/include/replica/replica_core.h
@@ -48,6 +48,7 @@
 
 /// Decisions of one replica of the log: elections with pre-vote, replication, commit, configuration.
 ///
+/// Elections stand in replica_core_elections.cpp, the log in replica_core.cpp.
 /// Pure: no I/O, clock or thread. The caller passes the time in, and carries out `takeOutput`
 /// before it calls again. Single-threaded.
 class replica_core
