front end: a span for each look-up

Cause: traces began at the entry; why a look-up named a region was not in them. Cost: one more line in the trace file, none without it. No test reads it yet.

--- a/src/daemon/front_end.cpp
+++ b/src/daemon/front_end.cpp
@@ -185,6 +185,7 @@
         return refuse(errc::malformedRequest);
     }
     m_parts.counters.countLookup(service_name(parameter(query, "service")));
+    const auto span = m_parts.traces.begin("look-up", trace_context::parse(request.header("traceparent")));
     const auto choice = table->choose(service, *client);
     json::array entries;
     for (std::uint8_t i = 0; i < choice.entryCount; ++i) {
@@ -196,6 +197,7 @@
             {"failureDomain", entry.domain.view()},
         });
     }
+    m_parts.traces.end(span, {{"service", parameter(query, "service")}, {"home", table->region(choice.home).view()}, {"reason", textOf(choice.reason)}});
     return jsonResponse(200,
                         json::object {
                             {"ruleVersion", table->ruleVersion()},
