--- /dev/null
+++ b/include/codec/control_codec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "rpc/control_client.h"
+
+#include "control.pb.h"
+
+namespace hornbeampick
+{
+
+/// Conversions between the calls to control hosts and the schema's messages. Decoding never fails.
+
+schema::watch_request encode(const watch_query &value);
+schema::watch_reply encode(const watch_answer &value);
+watch_query decode(const schema::watch_request &value);
+watch_answer decode(const schema::watch_reply &value);
+
+} // namespace hornbeampick
--- a/include/core/error.h
+++ b/include/core/error.h
@@ -35,6 +35,8 @@
     notOwner = 29,
     retryBudgetSpent = 30,
     callerLeft = 31,
+    noRoute = 32,
+    notReady = 33,
     // Claims.
     claimHeld = 40,
     claimUnavailable = 41,
@@ -47,6 +49,8 @@
     noQuorum = 63,
     notAVoter = 64,
     configBusy = 65,
+    routingInvalid = 66,
+    notConfirmed = 67,
     // Storage.
     ioFailed = 80,
     corruptRecord = 81,
--- /dev/null
+++ b/include/fleet/upstream_death.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/digest.h"
+#include "core/names.h"
+
+#include <cstdint>
+
+namespace hornbeampick
+{
+
+/// An upstream life that ended while it ran a request.
+struct upstream_death {
+    digest request;
+    instance_name instance;
+    std::uint64_t incarnation = 0;
+
+    bool operator==(const upstream_death &) const = default;
+};
+
+} // namespace hornbeampick
--- a/include/steering/upstream_report.h
+++ b/include/fleet/upstream_report.h
@@ -29,8 +29,12 @@
     std::uint32_t connections = 0;
     upstream_state state = upstream_state::active;
     std::uint32_t inFlight = 0;
-    // By the upstream's own clock.
+    // By the upstream's own clock or count; rises with each report.
     wall_ms reportedAt = 0;
+    // How long it stays cold; 0 when it is warm.
+    milliseconds warmupLeft {0};
+    // Its reports have stopped.
+    bool silent = false;
 
     bool operator==(const upstream_report &) const = default;
 };
--- a/include/observe/log.h
+++ b/include/observe/log.h
@@ -21,12 +21,17 @@
     std::variant<std::string, std::int64_t, double, bool> value;
 };
 
-/// Sends log lines to `file`, or to standard error when it is empty. Called once, before threads start.
+/// Sends log lines to `file`, or to standard output when it is empty. Called once, before threads start.
+/// A reader of standard output that falls behind loses lines; the process never waits for it.
 void startLog(std::string_view host, const std::string &file);
 
 /// Writes one JSON line with time, level, host, event and the fields. Thread-safe.
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
+/// Like `logEvent`, but at most so many lines a second of each event; what was left out is counted in the next line that is
+/// written. For events that come with requests.
+void logBounded(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+
 /// A field that names a failure by its code.
 log_field errorField(std::error_code error);
 
--- a/include/replica/formation.h
+++ b/include/replica/formation.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -40,7 +41,7 @@
 /// asks to be added as soon as one of them is formed.
 ///
 /// An emptied disk therefore never counts as the voter that it once was. A disk that is known to have lost
-/// records only asks to be added: a log that was formed once is never formed again over what was accepted.
+/// records, or that starts after the fleet did, only asks to be added: a log that was formed once is never formed again over what was accepted.
 class formation
 {
 public:
@@ -48,7 +49,8 @@
         replica_id self;
         std::vector<bootstrap_voter> listed;
         milliseconds retry {300};
-        bool lostRecords = false;
+        // Only joins a log that exists; never forms one.
+        bool joinsOnly = false;
     };
 
     explicit formation(options given);
@@ -74,6 +76,8 @@
     // New disks heard of, by host.
     std::map<host_name, replica_id> m_unformed;
     bool m_peerFormed = false;
+    // Members of the log that exists, beyond the listed ones.
+    std::set<std::string> m_memberAddresses;
     std::optional<replica_config> m_adopted;
 };
 
--- a/include/replica/replica_engine.h
+++ b/include/replica/replica_engine.h
@@ -41,6 +41,10 @@
     host_name host;
     std::string address;
     std::vector<bootstrap_voter> bootstrap;
+    // Voters wanted in all; 0: as many as are listed in `bootstrap`.
+    std::size_t targetVoters = 0;
+    // False when the fleet has been started before: an empty disk then joins, and never forms a log.
+    bool mayForm = true;
     milliseconds electionTimeout {600};
     milliseconds heartbeat {100};
     // Applied entries kept before a snapshot replaces them.
@@ -108,6 +112,7 @@
     void apply(const replica_output &output);
     void compactIfLong();
     void failStorage(std::error_code why);
+    void rejoinIfForgotten(steady_time now);
 
     replica_node_options m_options;
     replica_store &m_store;
@@ -124,6 +129,9 @@
     rule_ledger m_ledger;
     std::multimap<log_index, waiter> m_waiters;
     replica_role m_lastRole = replica_role::absent;
+    // When a leader was last known, and when to ask again for a place in the log.
+    steady_time m_ledAt {};
+    steady_time m_nextRejoin {};
     bool m_stopped = false;
 };
 
--- a/include/replica/replica_types.h
+++ b/include/replica/replica_types.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/digest.h"
 #include "core/names.h"
+#include "rules/routing_table.h"
 #include "rules/rule_document.h"
 
 #include <algorithm>
@@ -87,7 +88,16 @@
     bool operator==(const claim_epoch &) const = default;
 };
 
-using entry_body = std::variant<barrier_entry, rules_change, claim_epoch, replica_config>;
+/// Whether the upstreams of a failure domain get work.
+struct evacuation_order {
+    domain_name domain;
+    // False withdraws the order.
+    bool active = false;
+
+    bool operator==(const evacuation_order &) const = default;
+};
+
+using entry_body = std::variant<barrier_entry, rules_change, claim_epoch, replica_config, routing_table, evacuation_order>;
 
 struct log_entry {
     log_index index = 0;
@@ -116,6 +126,9 @@
     std::vector<history_record> history;
     std::vector<claim_epoch> epochs;
     log_index appliedIndex = 0;
+    routing_table routing;
+    // Failure domains whose upstreams get no work, sorted.
+    std::vector<domain_name> evacuated;
 
     bool operator==(const ledger_state &) const = default;
 };
--- a/include/replica/rule_ledger.h
+++ b/include/replica/rule_ledger.h
@@ -16,7 +16,7 @@
     std::string winnerOperator;
 };
 
-/// The state machine behind the log: rule versions, their history and the claim epochs.
+/// The state machine behind the log: rule versions, their history, the claim epochs, the routes and evacuations.
 ///
 /// Deterministic: the same entries give the same state on every replica.
 class rule_ledger
@@ -47,6 +47,7 @@
     [[nodiscard]] submit_result conflict() const;
     submit_result accept(const rules_change &change);
     void open(const claim_epoch &epoch);
+    void evacuate(const evacuation_order &order);
 
     ledger_state m_state;
 };
--- a/include/rpc/peer_types.h
+++ b/include/rpc/peer_types.h
@@ -5,10 +5,10 @@
 #include "core/error.h"
 #include "core/names.h"
 #include "fleet/member_table.h"
+#include "fleet/upstream_report.h"
 #include "replica/replica_types.h"
 #include "steering/request_gate.h"
 #include "steering/steering_table.h"
-#include "steering/upstream_report.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/settings/settings_file.h
+++ b/include/settings/settings_file.h
@@ -32,6 +32,16 @@
     std::vector<settings_error> errors;
 };
 
+/// Checked settings of an entry or control host, or every error found.
+struct node_settings_parse {
+    std::shared_ptr<const schema::node_settings> settings;
+    std::vector<settings_error> errors;
+};
+
+/// Reads YAML text against the schema of an entry or control host. `file` names it in errors only.
+node_settings_parse parseNodeSettings(std::string_view text, std::string_view file);
+node_settings_parse loadNodeSettings(const std::string &path);
+
 /// Reads YAML text against the settings schema. `file` names it in errors only.
 settings_parse parseSettings(std::string_view text, std::string_view file);
 
@@ -39,6 +49,7 @@
 settings_parse loadSettings(const std::string &path);
 
 topology topologyOf(const schema::daemon_settings &settings);
+topology topologyOf(const schema::node_settings &settings);
 std::vector<service_name> servicesOf(const schema::daemon_settings &settings);
 
 } // namespace hornbeampick
--- a/include/steering/poison_registry.h
+++ b/include/steering/poison_registry.h
@@ -4,6 +4,7 @@
 #include "core/digest.h"
 #include "core/names.h"
 #include "core/shards.h"
+#include "fleet/upstream_death.h"
 
 #include <cstdint>
 #include <unordered_map>
@@ -12,13 +13,6 @@
 namespace hornbeampick
 {
 
-/// An upstream life that ended while it ran a request.
-struct upstream_death {
-    digest request;
-    instance_name instance;
-    std::uint64_t incarnation = 0;
-};
-
 struct poison_options {
     // Deaths after which a request is quarantined.
     std::size_t deathsToQuarantine = 2;
--- a/include/steering/retry_budget.h
+++ b/include/steering/retry_budget.h
@@ -3,6 +3,7 @@
 #include "core/names.h"
 #include "core/shards.h"
 
+#include <atomic>
 #include <map>
 
 namespace hornbeampick
@@ -24,6 +25,8 @@
     void onFirstAttempt(const service_name &service);
     /// Takes one retry or hedge; false when the budget is spent.
     bool take(const service_name &service);
+    /// Changes how many retries may be saved up.
+    void setMost(double most);
     /// A retry that was taken did not reach an upstream.
     void giveBack(const service_name &service);
 
@@ -34,6 +37,7 @@
     double &tokensOf(tokens &all, const service_name &service) const;
 
     retry_budget_options m_options;
+    std::atomic<double> m_most;
     shards<tokens> m_tokens;
 };
 
--- a/include/steering/service_pool.h
+++ b/include/steering/service_pool.h
@@ -4,8 +4,8 @@
 #include "core/error.h"
 #include "core/names.h"
 #include "core/random_source.h"
+#include "fleet/upstream_report.h"
 #include "steering/upstream_life.h"
-#include "steering/upstream_report.h"
 
 #include <cstdint>
 #include <deque>
--- a/include/steering/upstream_life.h
+++ b/include/steering/upstream_life.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
-#include "steering/upstream_report.h"
+#include "fleet/upstream_report.h"
 
 #include <memory>
 
--- /dev/null
+++ b/src/codec/control_codec.cpp
@@ -0,0 +1,82 @@
+#include "codec/control_codec.h"
+
+#include "codec/peer_codec.h"
+#include "repeated_codec.h"
+
+namespace hornbeampick
+{
+
+schema::watch_request encode(const watch_query &value)
+{
+    schema::watch_request message;
+    auto &watcher = *message.mutable_watcher();
+    watcher.set_host(value.watcher.host.string());
+    watcher.set_address(value.watcher.address);
+    watcher.set_region(value.watcher.region.string());
+    watcher.set_failure_domain(value.watcher.domain.string());
+    watcher.set_incarnation(value.watcher.incarnation);
+    watcher.set_serving(value.watcher.serving);
+    message.set_source(value.source);
+    message.set_position(value.position);
+    message.set_applied_index(value.appliedIndex);
+    message.set_wait_ms(static_cast<std::uint32_t>(value.wait.count()));
+    encodeAll(value.deaths, message.mutable_deaths());
+    return message;
+}
+
+watch_query decode(const schema::watch_request &value)
+{
+    const auto &watcher = value.watcher();
+    return {
+        .watcher = {
+            .host = host_name(watcher.host()),
+            .address = watcher.address(),
+            .region = region_name(watcher.region()),
+            .domain = domain_name(watcher.failure_domain()),
+            .incarnation = watcher.incarnation(),
+            .serving = watcher.serving(),
+        },
+        .source = value.source(),
+        .position = value.position(),
+        .appliedIndex = value.applied_index(),
+        .wait = milliseconds(value.wait_ms()),
+        .deaths = decodeAll<upstream_death>(value.deaths()),
+    };
+}
+
+schema::watch_reply encode(const watch_answer &value)
+{
+    schema::watch_reply message;
+    message.set_source(value.source);
+    message.set_position(value.position);
+    encodeAll(value.upstreams, message.mutable_upstreams());
+    if (value.state) {
+        *message.mutable_state() = encode(*value.state);
+    }
+    for (const auto &host : value.controlHosts) {
+        message.add_control_hosts(host);
+    }
+    message.set_entry_hosts(value.entryHosts);
+    message.set_entry_hosts_in_region(value.entryHostsInRegion);
+    encodeAll(value.deaths, message.mutable_deaths());
+    return message;
+}
+
+watch_answer decode(const schema::watch_reply &value)
+{
+    watch_answer answer {
+        .source = value.source(),
+        .position = value.position(),
+        .upstreams = decodeAll<upstream_report>(value.upstreams()),
+    };
+    if (value.has_state()) {
+        answer.state = decode(value.state());
+    }
+    answer.controlHosts.assign(value.control_hosts().begin(), value.control_hosts().end());
+    answer.entryHosts = value.entry_hosts();
+    answer.entryHostsInRegion = value.entry_hosts_in_region();
+    answer.deaths = decodeAll<upstream_death>(value.deaths());
+    return answer;
+}
+
+} // namespace hornbeampick
--- a/src/codec/peer_codec.cpp
+++ b/src/codec/peer_codec.cpp
@@ -153,6 +153,8 @@
     message.set_state(static_cast<schema::upstream_state>(value.state));
     message.set_in_flight(value.inFlight);
     message.set_reported_at_ms(static_cast<std::uint64_t>(value.reportedAt));
+    message.set_warmup_left_ms(static_cast<std::uint32_t>(value.warmupLeft.count()));
+    message.set_silent(value.silent);
     return message;
 }
 
@@ -169,6 +171,8 @@
         .state = static_cast<upstream_state>(value.state()),
         .inFlight = value.in_flight(),
         .reportedAt = static_cast<wall_ms>(value.reported_at_ms()),
+        .warmupLeft = milliseconds(value.warmup_left_ms()),
+        .silent = value.silent(),
     };
 }
 
--- a/src/codec/replica_codec.cpp
+++ b/src/codec/replica_codec.cpp
@@ -148,6 +148,116 @@
     };
 }
 
+namespace
+{
+
+schema::route encode(const route &value)
+{
+    schema::route message;
+    message.set_name(value.name);
+    message.set_hostname(value.hostname);
+    message.set_path_prefix(value.pathPrefix);
+    message.set_run_once(value.runOnce);
+    message.set_timeout_ms(static_cast<std::uint32_t>(value.timeout.count()));
+    message.set_target_latency_ms(static_cast<std::uint32_t>(value.targetLatency.count()));
+    message.set_rank(value.rank);
+    message.set_attempts(value.attempts);
+    message.set_sticky(value.sticky);
+    for (const auto &region : value.allowedRegions) {
+        message.add_allowed_regions(region.string());
+    }
+    for (const auto &[service, weight] : value.services) {
+        auto *part = message.add_services();
+        part->set_service(service.string());
+        part->set_weight(weight);
+    }
+    return message;
+}
+
+route decode(const schema::route &value)
+{
+    route decoded {
+        .name = value.name(),
+        .hostname = value.hostname(),
+        .pathPrefix = value.path_prefix(),
+        .runOnce = value.run_once(),
+        .timeout = milliseconds(value.timeout_ms()),
+        .targetLatency = milliseconds(value.target_latency_ms()),
+        .rank = value.rank(),
+        .attempts = value.attempts(),
+        .sticky = value.sticky(),
+    };
+    for (const auto &region : value.allowed_regions()) {
+        decoded.allowedRegions.emplace_back(region);
+    }
+    for (const auto &part : value.services()) {
+        decoded.services.push_back({.service = service_name(part.service()), .weight = part.weight()});
+    }
+    return decoded;
+}
+
+schema::routed_service encode(const routed_service &value)
+{
+    schema::routed_service message;
+    message.set_name(value.name.string());
+    message.set_health_path(value.healthPath);
+    message.set_connections(value.connections);
+    message.set_warmup_ms(static_cast<std::uint32_t>(value.warmup.count()));
+    message.set_warmup_per_second(value.warmupPerSecond);
+    return message;
+}
+
+routed_service decode(const schema::routed_service &value)
+{
+    return {
+        .name = service_name(value.name()),
+        .healthPath = value.health_path(),
+        .connections = value.connections(),
+        .warmup = milliseconds(value.warmup_ms()),
+        .warmupPerSecond = value.warmup_per_second(),
+    };
+}
+
+} // namespace
+
+schema::routing_table encode(const routing_table &value)
+{
+    schema::routing_table message;
+    message.set_version(value.version);
+    for (const auto &each : value.routes) {
+        *message.add_routes() = encode(each);
+    }
+    for (const auto &each : value.services) {
+        *message.add_services() = encode(each);
+    }
+    auto &limits = *message.mutable_limits();
+    limits.set_header_bytes(value.limits.headerBytes);
+    limits.set_body_bytes(value.limits.bodyBytes);
+    limits.set_header_ms(static_cast<std::uint32_t>(value.limits.headerTime.count()));
+    limits.set_idle_ms(static_cast<std::uint32_t>(value.limits.idleTime.count()));
+    message.set_document(value.document);
+    return message;
+}
+
+routing_table decode(const schema::routing_table &value)
+{
+    routing_table table {.version = value.version()};
+    for (const auto &each : value.routes()) {
+        table.routes.push_back(decode(each));
+    }
+    for (const auto &each : value.services()) {
+        table.services.push_back(decode(each));
+    }
+    table.limits = {
+        .headerBytes = value.limits().header_bytes(),
+        .bodyBytes = value.limits().body_bytes(),
+        .headerTime = milliseconds(value.limits().header_ms()),
+        .idleTime = milliseconds(value.limits().idle_ms()),
+    };
+    table.document = value.document();
+    return table;
+}
+
 schema::log_entry encode(const log_entry &value)
 {
     schema::log_entry message;
@@ -167,6 +277,15 @@
                        message.set_kind(schema::entry_config);
                        *message.mutable_config() = encode(body);
                    },
+                   [&](const routing_table &body) {
+                       message.set_kind(schema::entry_routing);
+                       *message.mutable_routing() = encode(body);
+                   },
+                   [&](const evacuation_order &body) {
+                       message.set_kind(schema::entry_evacuation);
+                       message.mutable_evacuation()->set_failure_domain(body.domain.string());
+                       message.mutable_evacuation()->set_active(body.active);
+                   },
                },
                value.body);
     return message;
@@ -185,6 +304,12 @@
     case schema::entry_config:
         entry.body = decode(value.config());
         break;
+    case schema::entry_routing:
+        entry.body = decode(value.routing());
+        break;
+    case schema::entry_evacuation:
+        entry.body = evacuation_order {.domain = domain_name(value.evacuation().failure_domain()), .active = value.evacuation().active()};
+        break;
     default:
         break;
     }
@@ -200,19 +325,30 @@
     encodeAll(value.history, message.mutable_history());
     encodeAll(value.epochs, message.mutable_epochs());
     message.set_applied_index(value.appliedIndex);
+    if (value.routing.version > 0) {
+        *message.mutable_routing() = encode(value.routing);
+    }
+    for (const auto &domain : value.evacuated) {
+        message.add_evacuated(domain.string());
+    }
     return message;
 }
 
 ledger_state decode(const schema::ledger_state &value)
 {
-    return {
+    ledger_state state {
         .version = value.version(),
         .text = rule_document(value.text()),
         .operatorName = value.operator_name(),
         .history = decodeAll<history_record>(value.history()),
         .epochs = decodeAll<claim_epoch>(value.epochs()),
         .appliedIndex = value.applied_index(),
+        .routing = value.has_routing() ? decode(value.routing()) : routing_table {},
     };
+    for (const auto &domain : value.evacuated()) {
+        state.evacuated.emplace_back(domain);
+    }
+    return state;
 }
 
 schema::snapshot_record encode(const replica_snapshot &value)
--- a/src/daemon/announcement.h
+++ b/src/daemon/announcement.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "steering/upstream_report.h"
+#include "fleet/upstream_report.h"
 
 #include <optional>
 #include <string_view>
--- a/src/steering/upstream_report.cpp
+++ b/src/fleet/upstream_report.cpp
@@ -1,4 +1,4 @@
-#include "steering/upstream_report.h"
+#include "fleet/upstream_report.h"
 
 #include <tuple>
 
--- a/src/hornbeampickd.cpp
+++ b/src/hornbeampickd.cpp
@@ -1,6 +1,8 @@
 // The daemon's command line.
 
 #include "daemon/daemon.h"
+#include "front_ends.h"
+#include "node/node.h"
 #include "observe/log.h"
 #include "settings/settings_file.h"
 
@@ -43,6 +45,26 @@
     return exitOk;
 }
 
+int serveNode(const std::string &path)
+{
+    const auto parsed = loadNodeSettings(path);
+    for (const auto &error : parsed.errors) {
+        std::cerr << error.text() << "\n";
+    }
+    if (!parsed.settings) {
+        return exitSettings;
+    }
+    startLog(parsed.settings->host(), {});
+    const auto frontEnds = platform::makeFrontEnds(*parsed.settings);
+    auto made = parsed.settings->front().empty() ? makeControlNode(parsed.settings, frontEnds) : makeEntryNode(parsed.settings, frontEnds);
+    if (!made) {
+        logEvent(log_level::error, "start-failed", {errorField(made.error())});
+        return exitStart;
+    }
+    made.value()->run();
+    return exitOk;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -50,13 +72,18 @@
     cxxopts::Options options("hornbeampickd",
                              "Steers traffic: one entry host of the fleet.\n\nExit codes: 0 stopped as planned, 2 usage, 3 bad settings, 4 a port, key or data "
                              "folder cannot be used.");
-    options.add_options()("settings", "settings file (YAML)", cxxopts::value<std::string>(), "FILE")("help", "show this help");
+    options.add_options()("settings", "settings file of a host whose rules come from a rule file (YAML)", cxxopts::value<std::string>(),
+                          "FILE")("node", "settings file of an entry or control host whose routes come from its operators (YAML)",
+                                  cxxopts::value<std::string>(), "FILE")("help", "show this help");
     try {
         const auto parsed = options.parse(argc, argv);
         if (parsed.count("help") > 0) {
             std::cout << options.help();
             return exitOk;
         }
+        if (parsed.count("node") > 0) {
+            return serveNode(parsed["node"].as<std::string>());
+        }
         if (parsed.count("settings") == 0) {
             std::cerr << options.help();
             return exitUsage;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
@@ -30,6 +31,7 @@
 constexpr int backlog = 1024;
 constexpr milliseconds acceptPause {50};
 constexpr milliseconds lingerTime {200};
+constexpr unsigned httpOneOne = 11;
 
 bool sameName(std::string_view a, std::string_view b)
 {
@@ -121,12 +123,12 @@
         // A timer beside the read, since the stream's own would close the socket before the answer.
         m_stream.expires_never();
         asio::steady_timer limit(co_await asio::this_coro::executor, m_options.headerTime);
-        auto reading = co_await (http::async_read(m_stream, m_buffer, parser, noThrow) || limit.async_wait(noThrow));
+        auto reading = co_await (readWhole(parser) || limit.async_wait(noThrow));
         if (reading.index() == 1) {
             co_await write(m_handler.refuse(errc::requestTooSlow), false);
             co_return false;
         }
-        const auto failed = std::get<0>(std::get<0>(reading));
+        const auto failed = std::get<0>(reading);
         if (failed == http::error::end_of_stream) {
             co_return false;
         }
@@ -135,8 +137,11 @@
             co_return false;
         }
         const bool keepAlive = parser.get().keep_alive();
+        m_answersHead = parser.get().method() == http::verb::head;
+        const bool needsHost = parser.get().version() >= httpOneOne;
         auto request = take(parser.release());
-        if (request.repeats("Host") || request.repeats("Idempotency-Key") || request.repeats("Hornbeampick-Epoch")) {
+        if ((needsHost && request.header("Host").empty()) || request.repeats("Host") || request.repeats("Idempotency-Key")
+            || request.repeats("Hornbeampick-Epoch")) {
             co_await write(m_handler.refuse(errc::malformedRequest), false);
             co_return false;
         }
@@ -151,6 +156,25 @@
         co_return written &&stay;
     }
 
+    // A caller that asks whether to send its body is told to.
+    asio::awaitable<error_code> readWhole(http::request_parser<http::string_body> &parser)
+    {
+        const auto [failed, count] = co_await http::async_read_header(m_stream, m_buffer, parser, noThrow);
+        if (failed) {
+            co_return failed;
+        }
+        const bool asks = beast::iequals(parser.get()[http::field::expect], "100-continue");
+        if (asks && !parser.is_done()) {
+            constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+            const auto [refused, written] = co_await asio::async_write(m_stream, asio::buffer(interim), noThrow);
+            if (refused) {
+                co_return refused;
+            }
+        }
+        const auto [broken, bytes] = co_await http::async_read(m_stream, m_buffer, parser, noThrow);
+        co_return broken;
+    }
+
     http_request take(http::request<http::string_body> message) const
     {
         http_request request;
@@ -217,6 +241,11 @@
         message.keep_alive(keepAlive);
         message.prepare_payload();
         m_stream.expires_after(m_options.idle);
+        if (m_answersHead) {
+            http::response_serializer<http::string_body> serializer(message);
+            const auto [failed, bytes] = co_await http::async_write_header(m_stream, serializer, noThrow);
+            co_return !failed;
+        }
         const auto [failed, bytes] = co_await http::async_write(m_stream, message, noThrow);
         co_return !failed;
     }
@@ -239,6 +268,7 @@
     http_handler &m_handler;
     std::shared_ptr<server_state> m_state;
     std::uint32_t m_caller = 0;
+    bool m_answersHead = false;
 };
 
 asio::awaitable<void> runSession(std::unique_ptr<session> connection)
--- /dev/null
+++ b/src/node/control_node.cpp
@@ -0,0 +1,370 @@
+#include "daemon/await_callback.h"
+#include "node/node.h"
+#include "node_parts.h"
+#include "observe/log.h"
+#include "replica/replica_node.h"
+#include "settings/settings_file.h"
+#include "storage/replica_file_store.h"
+#include "watch_desk.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr auto noThrow = asio::as_tuple(asio::use_awaitable);
+// A whole configuration of some thousand routes.
+constexpr std::size_t orderBodyBytes = 8 << 20;
+constexpr milliseconds deskTick {50};
+// An upstream's call is given up by it after a second.
+constexpr milliseconds confirmWait {700};
+// Reports of an upstream that may be missed before it counts as silent.
+constexpr int heartbeatsMissed = 3;
+// Control hosts that vote: any two may lose their disks while the rest loses power. Others learn, and take the place of lost ones.
+constexpr std::size_t votersWanted = 7;
+constexpr milliseconds electionTimeout {600};
+constexpr milliseconds logHeartbeat {100};
+// After its leadership is handed over: the messages of the last moment leave.
+constexpr milliseconds handOverTime {100};
+constexpr milliseconds rpcGrace {300};
+
+class control_node final : public node, public control_calls, public control_handler, public replica_transport, public ledger_listener
+{
+public:
+    control_node(std::shared_ptr<const schema::node_settings> settings, const node_front_ends &frontEnds)
+        : m_settings(std::move(settings))
+        , m_random(operatingSystemSeed())
+        , m_peers(makeGrpcControlClient(nodeTls(), &m_counters))
+        , m_announcements({.silentAfter = heartbeatsMissed * milliseconds(m_settings->deployment().heartbeat_ms())})
+        , m_desk(m_random.next(), m_announcements, m_hosts, m_clock)
+        , m_handler(frontEnds.control(*this))
+        , m_metricsHandler(m_counters, [this] { refreshMetrics(); })
+    {
+    }
+
+    ~control_node() override
+    {
+        end();
+    }
+
+    control_node(const control_node &) = delete;
+    control_node &operator=(const control_node &) = delete;
+
+    status open()
+    {
+        auto files = makePosixFileSystem(m_settings->data_folder());
+        if (!files) {
+            return files.error();
+        }
+        m_files = std::move(files.value());
+        m_store = makeReplicaFileStore(*m_files);
+        m_replica = std::make_unique<replica_node>(replicaOptions(), *m_store, *this, *this, m_clock, m_random);
+        auto server = makeGrpcControlServer(m_settings->rpc(), nodeTls(), *this, &m_counters);
+        if (!server) {
+            return server.error();
+        }
+        m_server = std::move(server.value());
+        auto http = serveAt(m_settings->control(), m_context, *m_handler, orderBodyBytes);
+        if (!http) {
+            return http.error();
+        }
+        m_http = std::move(http.value());
+        auto directory = serveAt(m_settings->directory(), m_context, *m_handler, orderBodyBytes);
+        if (!directory) {
+            return directory.error();
+        }
+        m_directory = std::move(directory.value());
+        auto page = serveAt(m_settings->metrics(), m_context, m_metricsHandler, orderBodyBytes);
+        if (!page) {
+            return page.error();
+        }
+        m_metricsPage = std::move(page.value());
+        return success();
+    }
+
+    void run() override
+    {
+        logEvent(log_level::info, "started", {{"control", m_settings->control()}, {"rpc", m_settings->rpc()}, {"bootstrap", m_settings->bootstrap()}});
+        m_replica->start();
+        asio::co_spawn(m_context, tickDesk(), asio::detached);
+        asio::co_spawn(m_context, awaitStop(), asio::detached);
+        asio::co_spawn(m_context, awaitReload(), asio::detached);
+        std::vector<std::thread> threads;
+        for (unsigned i = 0; i < m_settings->threads(); ++i) {
+            threads.emplace_back([this] { m_context.run(); });
+        }
+        for (auto &thread : threads) {
+            thread.join();
+        }
+        end();
+        logEvent(log_level::info, "stopped");
+    }
+
+    asio::awaitable<status> announce(upstream_report report) override
+    {
+        const auto before = m_announcements.position();
+        const auto state = report.state;
+        const auto instance = report.instance;
+        const auto position = m_announcements.report(report, m_clock.now());
+        if (m_announcements.position() != before) {
+            logEvent(log_level::info, "upstream-changed",
+                     {{"instance", instance.string()},
+                      {"service", report.service.string()},
+                      {"address", report.address},
+                      {"state", static_cast<std::int64_t>(state)},
+                      {"warmupLeftMs", static_cast<std::int64_t>(report.warmupLeft.count())},
+                      {"sequence", report.reportedAt}});
+            m_desk.serve();
+        }
+        if (state < upstream_state::draining) {
+            co_return success();
+        }
+        // Cut off from the log's leader, this host may be cut off from entry hosts as well.
+        if (!knowsLeader()) {
+            co_return make_error_code(errc::notConfirmed);
+        }
+        auto start = [this, position](std::function<void(bool)> done) { m_desk.confirm(position, confirmWait, std::move(done)); };
+        const bool known = co_await awaitCallback<bool>(start);
+        if (!known) {
+            logEvent(log_level::warning, "leaving-not-confirmed", {{"instance", instance.string()}});
+            co_return make_error_code(errc::notConfirmed);
+        }
+        co_return success();
+    }
+
+    asio::awaitable<status> submitRouting(routing_table table) override
+    {
+        const auto version = static_cast<std::int64_t>(table.version);
+        if (const auto checked = checkRouting(table); !checked) {
+            logEvent(log_level::warning, "routes-refused", {{"version", version}, errorField(checked.error())});
+            co_return checked.error();
+        }
+        co_return co_await submit(std::move(table), "routes", version);
+    }
+
+    asio::awaitable<status> evacuate(evacuation_order order) override
+    {
+        co_return co_await submit(std::move(order), "evacuation", 0);
+    }
+
+    asio::awaitable<result<routing_table>> readRouting() override
+    {
+        // An entry of its own proves that this host still leads.
+        const auto proved = co_await submit(barrier_entry {}, "read", 0);
+        if (!proved) {
+            co_return proved.error();
+        }
+        const auto state = m_state.get();
+        if (!state || state->routing.version == 0) {
+            co_return make_error_code(errc::notReady);
+        }
+        co_return state->routing;
+    }
+
+    [[nodiscard]] entry_choice chooseEntry(const region_name &region) const override
+    {
+        return {.addresses = m_hosts.addressesFor(region, m_clock.now()), .lifetime = milliseconds(m_settings->deployment().lookup_ttl_ms())};
+    }
+
+    [[nodiscard]] std::optional<std::string> leaderAddress() const override
+    {
+        const auto view = m_replica->view();
+        if (view.role == replica_role::leader || !view.leader) {
+            return std::nullopt;
+        }
+        return view.leader->address;
+    }
+
+    void onWatch(watch_query query, std::function<void(const watch_answer &)> done) override
+    {
+        m_desk.ask(std::move(query), std::move(done));
+    }
+    void onReplicate(replica_message message) override
+    {
+        m_replica->receive(std::move(message));
+    }
+    void onForm(form_request request, std::function<void(const form_reply &)> done) override
+    {
+        m_replica->receiveForm(std::move(request), std::move(done));
+    }
+
+    void send(const replica_message &message) override
+    {
+        m_peers->replicate(message.to.address, message);
+    }
+    void form(const std::string &address, const form_request &request, std::function<void(const form_reply &)> done) override
+    {
+        m_peers->form(address, request, std::move(done));
+    }
+
+    void onLedger(const ledger_state &state) override
+    {
+        const auto former = m_state.get();
+        if (!former || former->routing.version != state.routing.version || former->evacuated != state.evacuated) {
+            logEvent(log_level::info, "state-applied",
+                     {{"index", static_cast<std::int64_t>(state.appliedIndex)},
+                      {"routesVersion", static_cast<std::int64_t>(state.routing.version)},
+                      {"evacuated", static_cast<std::int64_t>(state.evacuated.size())}});
+            m_desk.setState(state);
+        }
+        m_state.set(std::make_shared<const ledger_state>(state));
+    }
+    void onDamaged(std::error_code why) override
+    {
+        logEvent(log_level::error, "replica-records-set-aside", {errorField(why)});
+    }
+    void onStopped(std::error_code why) override
+    {
+        logEvent(log_level::error, "replica-stopped", {errorField(why)});
+    }
+
+private:
+    replica_node_options replicaOptions() const
+    {
+        // Hosts of the log are named by their peer address: that is all that a first start tells of the others.
+        replica_node_options options {
+            .host = host_name(m_settings->rpc()),
+            .address = m_settings->rpc(),
+            .targetVoters = votersWanted,
+            .mayForm = m_settings->bootstrap(),
+            .electionTimeout = electionTimeout,
+            .heartbeat = logHeartbeat,
+        };
+        const auto rpcPort = endpointParts(m_settings->rpc()).port;
+        for (const auto &seed : m_settings->seeds()) {
+            const auto address = withPort(seed, rpcPort);
+            options.bootstrap.push_back({.host = host_name(address), .address = address});
+        }
+        return options;
+    }
+
+    asio::awaitable<status> submit(entry_body body, std::string_view what, std::int64_t version)
+    {
+        auto start = [this, &body](std::function<void(submit_result)> done) {
+            m_replica->submit(std::move(body), [done = std::move(done)](const submit_result &verdict) { done(verdict); });
+        };
+        const auto verdict = co_await awaitCallback<submit_result>(start);
+        if (verdict.error != errc::ok || version != 0) {
+            logBounded(verdict.error == errc::ok ? log_level::info : log_level::warning, "order",
+                       {{"what", std::string(what)}, {"version", version}, {"outcome", std::string(errorCode(verdict.error))}});
+        }
+        if (verdict.error != errc::ok) {
+            co_return make_error_code(verdict.error);
+        }
+        co_return success();
+    }
+
+    [[nodiscard]] bool knowsLeader() const
+    {
+        const auto view = m_replica->view();
+        return view.role == replica_role::leader || view.leader.has_value();
+    }
+
+    asio::awaitable<void> tickDesk()
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        while (true) {
+            const auto now = m_clock.now();
+            m_announcements.expire(now);
+            m_hosts.expire(now);
+            const auto view = m_replica->view();
+            std::vector<std::string> members;
+            for (const auto &voter : view.config.voters) {
+                members.push_back(voter.address);
+            }
+            for (const auto &learner : view.config.learners) {
+                members.push_back(learner.address);
+            }
+            m_desk.setControlHosts(std::move(members));
+            m_desk.serve();
+            timer.expires_after(deskTick);
+            co_await timer.async_wait(noThrow);
+        }
+    }
+
+    asio::awaitable<void> awaitStop()
+    {
+        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
+        co_await signals.async_wait(noThrow);
+        logEvent(log_level::info, "stopping");
+        m_http->drain();
+        if (m_directory) {
+            m_directory->drain();
+        }
+        m_replica->stop();
+        asio::steady_timer timer(co_await asio::this_coro::executor, handOverTime);
+        co_await timer.async_wait(noThrow);
+        m_context.stop();
+    }
+
+    asio::awaitable<void> awaitReload()
+    {
+        asio::signal_set signals(co_await asio::this_coro::executor, SIGHUP);
+        while (true) {
+            co_await signals.async_wait(noThrow);
+            logEvent(log_level::info, "reload");
+        }
+    }
+
+    void refreshMetrics()
+    {
+        const auto state = m_state.get();
+        m_counters.setRuleVersion(state ? state->routing.version : 0);
+    }
+
+    void end()
+    {
+        m_desk.close();
+        if (m_replica) {
+            m_replica->stop();
+        }
+        if (m_server) {
+            m_server->stop(rpcGrace);
+        }
+        m_peers->cancelAll();
+    }
+
+    std::shared_ptr<const schema::node_settings> m_settings;
+    asio::io_context m_context;
+    system_clock_source m_clock;
+    seeded_random_source m_random;
+    metrics m_counters;
+    std::unique_ptr<control_client> m_peers;
+    announcement_log m_announcements;
+    entry_host_list m_hosts;
+    watch_desk m_desk;
+    published<ledger_state> m_state;
+    std::unique_ptr<http_handler> m_handler;
+    metrics_page m_metricsHandler;
+    std::unique_ptr<file_system> m_files;
+    std::unique_ptr<replica_store> m_store;
+    std::unique_ptr<replica_node> m_replica;
+    std::unique_ptr<peer_server> m_server;
+    std::unique_ptr<http_server> m_http;
+    std::unique_ptr<http_server> m_directory;
+    std::unique_ptr<http_server> m_metricsPage;
+};
+
+} // namespace
+
+result<std::unique_ptr<node>> makeControlNode(std::shared_ptr<const schema::node_settings> settings, const node_front_ends &frontEnds)
+{
+    auto made = std::make_unique<control_node>(std::move(settings), frontEnds);
+    if (auto opened = made->open(); !opened) {
+        return opened.error();
+    }
+    return std::unique_ptr<node>(std::move(made));
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/node/control_watch.cpp
@@ -0,0 +1,158 @@
+#include "control_watch.h"
+
+#include "daemon/await_callback.h"
+#include "observe/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr auto noThrow = asio::as_tuple(asio::use_awaitable);
+// A control host holds its answer this long while nothing changes; its list of entry hosts allows twice as much.
+constexpr milliseconds longestWait {500};
+// Beyond the wait: two of the longest delays and a slow host.
+constexpr milliseconds answerSlack {700};
+constexpr milliseconds retryPause {100};
+
+} // namespace
+
+control_watch::control_watch(const control_watch_parts &parts, const control_watch_options &options, asio::io_context &context)
+    : m_parts(parts)
+    , m_options(options)
+    , m_context(context)
+    , m_self(options.self)
+{
+}
+
+void control_watch::start()
+{
+    asio::post(m_context, [this] { addSeeds(m_options.seeds); });
+}
+
+void control_watch::addSeeds(std::span<const std::string> addresses)
+{
+    for (const auto &address : addresses) {
+        if (m_sources.try_emplace(address).second) {
+            asio::co_spawn(m_context, follow(address), asio::detached);
+        }
+    }
+}
+
+void control_watch::setServing(bool serving)
+{
+    asio::post(m_context, [this, serving] {
+        m_self.serving = serving;
+        for (const auto &[address, known] : m_sources) {
+            asio::co_spawn(
+                m_context, [](control_watch &self, std::string to) -> asio::awaitable<void> { co_await self.ask(to, milliseconds(0)); }(*this, address),
+                asio::detached);
+        }
+    });
+}
+
+void control_watch::reportDeath(const upstream_death &death)
+{
+    const std::lock_guard guard(m_deathLock);
+    m_deaths.push_back(death);
+}
+
+asio::awaitable<void> control_watch::follow(std::string address)
+{
+    asio::steady_timer pause(co_await asio::this_coro::executor);
+    while (true) {
+        const bool answered = co_await ask(address, longestWait);
+        auto &known = m_sources[address];
+        if (answered != known.reachable) {
+            known.reachable = answered;
+            logEvent(answered ? log_level::info : log_level::warning, answered ? "control-host-regained" : "control-host-lost", {{"address", address}});
+        }
+        if (!answered) {
+            pause.expires_after(retryPause);
+            co_await pause.async_wait(noThrow);
+        }
+    }
+}
+
+asio::awaitable<bool> control_watch::ask(const std::string &address, milliseconds wait)
+{
+    auto &known = m_sources[address];
+    watch_query query {
+        .watcher = m_self,
+        .source = known.incarnation,
+        .position = known.position,
+        .appliedIndex = m_applied,
+        .wait = wait,
+    };
+    std::size_t told = 0;
+    {
+        const std::lock_guard guard(m_deathLock);
+        query.deaths.assign(m_deaths.begin() + static_cast<std::ptrdiff_t>(known.deathsTold), m_deaths.end());
+        told = m_deaths.size();
+    }
+    auto start = [&](std::function<void(result<watch_answer>)> done) { m_parts.peers.watch(address, query, wait + answerSlack, std::move(done)); };
+    const auto answer = co_await awaitCallback<result<watch_answer>>(start);
+    if (!answer) {
+        co_return false;
+    }
+    known.deathsTold = told;
+    take(address, answer.value());
+    co_return true;
+}
+
+void control_watch::take(const std::string &address, const watch_answer &answer)
+{
+    const auto now = m_parts.clock.now();
+    auto &known = m_sources[address];
+    const bool stale = answer.source == known.incarnation && answer.position < known.position;
+    if (answer.state) {
+        takeState(*answer.state);
+    }
+    if (!stale) {
+        m_directory.onReports(address, answer.source, answer.upstreams, now);
+        known.incarnation = answer.source;
+        known.position = answer.position;
+    }
+    m_parts.dispatch.setUpstreams(m_directory.upstreams(now));
+    m_parts.dispatch.setHostsInRegion(answer.entryHostsInRegion);
+    m_parts.retries.setMost(std::max(1.0, static_cast<double>(m_options.retrySlack) / std::max(answer.entryHosts, 1U)));
+    for (const auto &death : answer.deaths) {
+        m_parts.poison.report(death, now);
+    }
+    m_upstreamsKnown = m_upstreamsKnown || !answer.upstreams.empty();
+    addSeeds(answer.controlHosts);
+    const bool informed = m_upstreamsKnown && m_parts.routes.get() != nullptr;
+    if (informed && !m_informed.exchange(true)) {
+        logEvent(log_level::info, "informed", {{"appliedIndex", static_cast<std::int64_t>(m_applied)}});
+        setServing(true);
+    }
+}
+
+void control_watch::takeState(const ledger_state &state)
+{
+    if (state.appliedIndex <= m_applied) {
+        return;
+    }
+    m_applied = state.appliedIndex;
+    const auto current = m_parts.routes.get();
+    const std::uint64_t version = current ? current->table().version : 0;
+    if (state.routing.version > version) {
+        auto table = std::make_shared<const routing_table>(state.routing);
+        m_parts.dispatch.setServices(table->services);
+        m_parts.routes.set(std::make_shared<const route_index>(table));
+        logEvent(log_level::info, "routes-in-force",
+                 {{"version", static_cast<std::int64_t>(table->version)}, {"routes", static_cast<std::int64_t>(table->routes.size())}});
+    }
+    m_parts.dispatch.setEvacuated(state.evacuated);
+}
+
+} // namespace hornbeampick
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,12 +1,19 @@
 #include "observe/log.h"
 
 #include "core/error.h"
+#include "core/shards.h"
 
 #include <array>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <functional>
+#include <map>
 #include <mutex>
+#include <optional>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
 
 // The library is compiled in its own source file, with the same definitions.
 #include <easylogging++.h>
@@ -18,6 +25,23 @@
 {
 
 constexpr unsigned firstPrintable = 0x20;
+// Of one event: enough to explain a request, little beside the work of a second.
+constexpr std::uint32_t boundedLinesASecond = 20;
+
+// Writes lines to standard output. A full pipe loses them.
+class output_dispatch final : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        const std::string line = data->logMessage()->message() + "\n";
+        pollfd ready {.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+        if (::poll(&ready, 1, 0) == 1) {
+            // Nobody is left to be told when this fails.
+            (void)!::write(STDOUT_FILENO, line.data(), line.size());
+        }
+    }
+};
 
 // Set once before threads start.
 std::string &logHost()
@@ -76,20 +100,31 @@
     configurations.setToDefault();
     configurations.setGlobally(el::ConfigurationType::Format, "%msg");
     configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
-    configurations.setGlobally(el::ConfigurationType::ToFile, "true");
-    configurations.setGlobally(el::ConfigurationType::Filename, file.empty() ? "/dev/stderr" : file);
-    configurations.setGlobally(el::ConfigurationType::LogFlushThreshold, "1");
+    configurations.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
+    if (file.empty()) {
+        el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+        el::Helpers::installLogDispatchCallback<output_dispatch>("output");
+    } else {
+        configurations.setGlobally(el::ConfigurationType::Filename, file);
+        configurations.setGlobally(el::ConfigurationType::LogFlushThreshold, "1");
+    }
     el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
     el::Loggers::reconfigureAllLoggers(configurations);
 }
 
-void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+namespace
+{
+
+void writeLine(log_level level, std::string_view event, std::initializer_list<log_field> fields, std::uint64_t leftOut)
 {
     std::string line = "{\"time\":\"" + timeNow() + "\",\"level\":\"" + std::string(textOf(level)) + "\",\"host\":" + jsonQuoted(logHost())
         + ",\"event\":" + jsonQuoted(event);
     for (const auto &field : fields) {
         line += "," + jsonQuoted(field.name) + ":" + valueText(field);
     }
+    if (leftOut > 0) {
+        line += ",\"leftOut\":" + std::to_string(leftOut);
+    }
     line += "}";
     switch (level) {
     case log_level::info:
@@ -104,6 +139,51 @@
     }
 }
 
+// Lines of one event in the present second.
+struct event_budget {
+    std::int64_t second = 0;
+    std::uint32_t written = 0;
+    std::uint64_t leftOut = 0;
+};
+
+// How many lines were left out before this one; empty when this one is left out as well.
+std::optional<std::uint64_t> takeLine(std::string_view event)
+{
+    static shards<std::map<std::string, event_budget, std::less<>>> budgets;
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+    return budgets.with(std::hash<std::string_view> {}(event), [&](auto &all) -> std::optional<std::uint64_t> {
+        auto found = all.find(event);
+        if (found == all.end()) {
+            found = all.emplace(std::string(event), event_budget {}).first;
+        }
+        auto &budget = found->second;
+        if (budget.second != second) {
+            budget.second = second;
+            budget.written = 0;
+        }
+        if (budget.written >= boundedLinesASecond) {
+            ++budget.leftOut;
+            return std::nullopt;
+        }
+        ++budget.written;
+        return std::exchange(budget.leftOut, 0);
+    });
+}
+
+} // namespace
+
+void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    writeLine(level, event, fields, 0);
+}
+
+void logBounded(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (const auto leftOut = takeLine(event)) {
+        writeLine(level, event, fields, *leftOut);
+    }
+}
+
 log_field errorField(std::error_code error)
 {
     const bool ours = error.category() == errorCategory();
--- /dev/null
+++ b/src/relay/message_head.cpp
@@ -0,0 +1,105 @@
+#include "message_head.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/rfc7230.hpp>
+#include <cctype>
+#include <charconv>
+#include <vector>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+constexpr std::array connectionFields {
+    http::field::connection, http::field::keep_alive, http::field::proxy_connection,  http::field::te,
+    http::field::trailer,    http::field::upgrade,    http::field::transfer_encoding, http::field::content_length,
+};
+
+bool sameName(std::string_view a, std::string_view b)
+{
+    return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+}
+
+// Fields that the Connection field names for this connection only.
+std::vector<std::string> namedByConnection(const http::fields &fields)
+{
+    std::vector<std::string> names;
+    for (const auto &token : http::token_list(fields[http::field::connection])) {
+        if (!sameName(token, "close") && !sameName(token, "keep-alive")) {
+            names.emplace_back(token);
+        }
+    }
+    return names;
+}
+
+template <typename Skip> void appendFields(const http::fields &fields, std::string &head, const Skip &skip)
+{
+    const auto named = namedByConnection(fields);
+    for (const auto &field : fields) {
+        const std::string_view name = field.name_string();
+        const bool ofConnection = std::ranges::find(connectionFields, field.name()) != connectionFields.end()
+            || std::ranges::any_of(named, [&](const std::string &each) { return sameName(each, name); });
+        if (ofConnection || skip(field.name(), name)) {
+            continue;
+        }
+        head.append(name).append(": ").append(std::string_view(field.value())).append("\r\n");
+    }
+}
+
+void appendFraming(const body_framing &framing, std::string &head)
+{
+    if (framing.chunked) {
+        head += "Transfer-Encoding: chunked\r\n";
+    } else if (framing.length) {
+        head += "Content-Length: " + std::to_string(*framing.length) + "\r\n";
+    }
+}
+
+} // namespace
+
+std::string upstreamHead(const http::request_header<> &request, const body_framing &framing, const message_dialect &dialect, const upstream_note &note)
+{
+    std::string head;
+    head.append(request.method_string()).append(" ").append(request.target()).append(" HTTP/1.1\r\n");
+    appendFields(request, head, [&](http::field field, std::string_view name) { return field == http::field::expect || dialect.replaces(name); });
+    dialect.writeNote(note, head);
+    appendFraming(framing, head);
+    head += "\r\n";
+    return head;
+}
+
+std::string callerHead(const http::response_header<> &answer, const body_framing &framing, bool keepAlive)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(answer.result_int()) + " ";
+    head.append(answer.reason()).append("\r\n");
+    appendFields(answer, head, [](http::field, std::string_view) { return false; });
+    appendFraming(framing, head);
+    if (!keepAlive) {
+        head += "Connection: close\r\n";
+    }
+    head += "\r\n";
+    return head;
+}
+
+std::optional<seconds> keepAliveTimeout(std::string_view field)
+{
+    for (const auto &parameter : http::param_list(";" + std::string(field))) {
+        if (!sameName(parameter.first, "timeout")) {
+            continue;
+        }
+        const std::string_view digits = parameter.second;
+        std::int64_t value = 0;
+        const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+        if (parsed.ec == std::errc() && value >= 0) {
+            return seconds(value);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace hornbeampick
--- /dev/null
+++ b/src/relay/relay_server.cpp
@@ -0,0 +1,186 @@
+#include "relay/relay_server.h"
+
+#include "observe/log.h"
+#include "relay_session.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <thread>
+#include <vector>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr auto noThrow = asio::as_tuple(asio::use_awaitable);
+constexpr int backlog = 1024;
+// Pause when no connection can be taken: until some have ended.
+constexpr milliseconds acceptPause {50};
+constexpr milliseconds expiryTick {1000};
+
+// A thread with its own connections to callers and upstreams.
+struct relay_worker {
+    asio::io_context context {1};
+    asio::executor_work_guard<asio::io_context::executor_type> work {context.get_executor()};
+    upstream_links links;
+    std::thread thread;
+};
+
+asio::awaitable<void> runSession(std::shared_ptr<relay_session> session, relay_state &state)
+{
+    co_await session->run();
+    --state.connections;
+}
+
+asio::awaitable<void> expireLinks(upstream_links &links, clock_source &clock)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (true) {
+        timer.expires_after(expiryTick);
+        co_await timer.async_wait(noThrow);
+        links.expire(clock.now());
+    }
+}
+
+class threaded_relay final : public relay_server
+{
+public:
+    threaded_relay(const relay_options &options, const relay_parts &parts)
+        : m_options(options)
+        , m_parts(parts)
+    {
+        for (std::size_t i = 0; i < std::max<std::size_t>(options.threads, 1); ++i) {
+            m_workers.push_back(std::make_unique<relay_worker>());
+        }
+        m_acceptor = std::make_unique<tcp::acceptor>(m_workers.front()->context);
+    }
+
+    ~threaded_relay() override
+    {
+        threaded_relay::stop();
+    }
+
+    threaded_relay(const threaded_relay &) = delete;
+    threaded_relay &operator=(const threaded_relay &) = delete;
+
+    bool listen()
+    {
+        const auto colon = m_options.address.rfind(':');
+        if (colon == std::string::npos) {
+            return false;
+        }
+        error_code error;
+        const auto ip = asio::ip::make_address(m_options.address.substr(0, colon), error);
+        if (error) {
+            return false;
+        }
+        const tcp::endpoint endpoint(ip, static_cast<std::uint16_t>(std::atoi(m_options.address.c_str() + colon + 1)));
+        m_acceptor->open(endpoint.protocol(), error);
+        if (!error) {
+            m_acceptor->set_option(asio::socket_base::reuse_address(true), error);
+        }
+        if (!error) {
+            m_acceptor->bind(endpoint, error);
+        }
+        if (!error) {
+            m_acceptor->listen(backlog, error);
+        }
+        if (error) {
+            return false;
+        }
+        m_port = m_acceptor->local_endpoint().port();
+        return true;
+    }
+
+    void start()
+    {
+        asio::co_spawn(m_workers.front()->context, accept(), asio::detached);
+        for (auto &worker : m_workers) {
+            asio::co_spawn(worker->context, expireLinks(worker->links, m_parts.clock), asio::detached);
+            worker->thread = std::thread([&context = worker->context] { context.run(); });
+        }
+    }
+
+    [[nodiscard]] std::uint16_t port() const override
+    {
+        return m_port;
+    }
+
+    [[nodiscard]] std::size_t activeRequests() const override
+    {
+        return m_state.active;
+    }
+
+    void beginDrain() override
+    {
+        m_state.draining = true;
+    }
+
+    void stop() override
+    {
+        for (auto &worker : m_workers) {
+            worker->context.stop();
+        }
+        for (auto &worker : m_workers) {
+            if (worker->thread.joinable()) {
+                worker->thread.join();
+            }
+        }
+    }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        asio::steady_timer pause(co_await asio::this_coro::executor);
+        std::size_t turn = 0;
+        while (true) {
+            auto &worker = *m_workers[turn++ % m_workers.size()];
+            auto [failed, socket] = co_await m_acceptor->async_accept(worker.context, noThrow);
+            if (failed) {
+                logBounded(log_level::warning, "accept-failed", {errorField(failed)});
+                pause.expires_after(acceptPause);
+                co_await pause.async_wait(noThrow);
+                continue;
+            }
+            ++m_state.connections;
+            auto session = std::make_shared<relay_session>(std::move(socket), m_parts, m_state, worker.links);
+            asio::co_spawn(worker.context, runSession(std::move(session), m_state), asio::detached);
+            while (m_state.connections >= m_options.connections) {
+                pause.expires_after(acceptPause);
+                co_await pause.async_wait(noThrow);
+            }
+        }
+    }
+
+    relay_options m_options;
+    relay_parts m_parts;
+    relay_state m_state;
+    std::vector<std::unique_ptr<relay_worker>> m_workers;
+    std::unique_ptr<tcp::acceptor> m_acceptor;
+    std::uint16_t m_port = 0;
+};
+
+} // namespace
+
+result<std::unique_ptr<relay_server>> startRelay(const relay_options &options, const relay_parts &parts)
+{
+    auto relay = std::make_unique<threaded_relay>(options, parts);
+    if (!relay->listen()) {
+        return errc::ioFailed;
+    }
+    relay->start();
+    return std::unique_ptr<relay_server>(std::move(relay));
+}
+
+} // namespace hornbeampick
--- a/src/replica/formation.cpp
+++ b/src/replica/formation.cpp
@@ -18,15 +18,18 @@
         return requests;
     }
     m_next = now + m_options.retry;
-    const bool joins = m_peerFormed || m_options.lostRecords;
+    const bool joins = m_peerFormed || m_options.joinsOnly;
     const auto config = joins ? std::nullopt : firstConfig();
     if (config) {
         m_adopted = config;
     }
+    std::set<std::string> addresses = joins ? m_memberAddresses : std::set<std::string>();
     for (const auto &voter : m_options.listed) {
-        if (voter.host != m_options.self.host) {
-            requests.push_back({.address = voter.address, .request = {.sender = m_options.self, .config = config, .join = joins}});
-        }
+        addresses.insert(voter.address);
+    }
+    addresses.erase(m_options.self.address);
+    for (const auto &address : addresses) {
+        requests.push_back({.address = address, .request = {.sender = m_options.self, .config = config, .join = joins}});
     }
     return requests;
 }
@@ -42,6 +45,10 @@
         return;
     }
     m_peerFormed = true;
+    // Only the leader takes a wish to join, and it need not be a listed host.
+    for (const auto &member : reply.config.voters) {
+        m_memberAddresses.insert(member.address);
+    }
     // A configuration that already names this very disk was formed with it.
     if (reply.config.isVoter(m_options.self.disk)) {
         m_adopted = reply.config;
@@ -57,7 +64,7 @@
         m_adopted = request.config;
     }
     // Lost records are as good as a formed log to those that would form one.
-    return {.formed = m_adopted.has_value() || m_options.lostRecords, .self = m_options.self, .config = m_adopted.value_or(replica_config {})};
+    return {.formed = m_adopted.has_value() || m_options.joinsOnly, .self = m_options.self, .config = m_adopted.value_or(replica_config {})};
 }
 
 bool formation::proposes() const
--- a/src/replica/replica_engine.cpp
+++ b/src/replica/replica_engine.cpp
@@ -11,6 +11,9 @@
 constexpr milliseconds formationRetry {300};
 constexpr milliseconds joinPatience {5000};
 constexpr milliseconds idleWait {1000};
+// A replica that has known no leader for this long may have been replaced while it was away.
+constexpr milliseconds forgottenAfter {3000};
+constexpr milliseconds rejoinEvery {1000};
 
 submit_result failure(errc error)
 {
@@ -28,7 +31,7 @@
     , m_clock(clock)
     , m_random(random)
     , m_formSink(std::move(formSink))
-    , m_repair(m_options.bootstrap.size(), joinPatience)
+    , m_repair(m_options.targetVoters == 0 ? m_options.bootstrap.size() : m_options.targetVoters, joinPatience)
 {
 }
 
@@ -41,7 +44,8 @@
     }
     m_self = {.host = m_options.host, .disk = image.value().disk, .address = m_options.address};
     m_hard = image.value().hard;
-    if (m_self.disk == 0) {
+    const bool isEmpty = m_self.disk == 0;
+    if (isEmpty) {
         m_self.disk = m_random.next() | 1U;
         if (const auto saved = m_store.saveIdentity(m_self.disk, m_hard); !saved) {
             failStorage(saved.error());
@@ -54,8 +58,8 @@
         // Only now, with all that is known to be committed applied: what is in force never falls.
         m_listener.onLedger(m_ledger.state());
     } else {
-        m_formation = std::make_unique<formation>(
-            formation::options {.self = m_self, .listed = m_options.bootstrap, .retry = formationRetry, .lostRecords = image.value().lostRecords});
+        m_formation = std::make_unique<formation>(formation::options {
+            .self = m_self, .listed = m_options.bootstrap, .retry = formationRetry, .joinsOnly = image.value().lostRecords || (isEmpty && !m_options.mayForm)});
     }
 }
 
@@ -89,6 +93,25 @@
         // Refused only when the leader changed meanwhile; the next tick decides anew.
         (void)m_core->propose(std::move(*config), now);
     }
+    rejoinIfForgotten(now);
+}
+
+// A voter that was given up while it was away hears nothing any more; it asks to be taken in again.
+void replica_engine::rejoinIfForgotten(steady_time now)
+{
+    if (m_core->leader() || m_ledAt == steady_time {}) {
+        m_ledAt = now;
+        return;
+    }
+    if (now < m_ledAt + forgottenAfter || now < m_nextRejoin) {
+        return;
+    }
+    m_nextRejoin = now + rejoinEvery;
+    for (const auto &voter : m_core->config().voters) {
+        if (voter.disk != m_self.disk) {
+            m_transport.form(voter.address, {.sender = m_self, .config = std::nullopt, .join = true}, [](const form_reply &) {});
+        }
+    }
 }
 
 void replica_engine::receive(const replica_message &message)
@@ -269,22 +292,24 @@
         m_ledger = rule_ledger(output.snapshot->state);
         m_listener.onLedger(m_ledger.state());
     }
+    std::vector<std::pair<submit_done, submit_result>> reached;
     for (const auto &entry : output.committed) {
         const submit_result verdict = m_ledger.apply(entry);
         const auto [first, last] = m_waiters.equal_range(entry.index);
-        std::vector<waiter> reached;
         for (auto it = first; it != last; ++it) {
-            reached.push_back(std::move(it->second));
+            auto &each = it->second;
+            reached.emplace_back(std::move(each.done), each.term == entry.term ? verdict : failure(errc::noQuorum));
         }
         m_waiters.erase(first, last);
-        for (auto &each : reached) {
-            each.done(each.term == entry.term ? verdict : submit_result {.error = errc::noQuorum, .version = 0, .winner = {}, .winnerOperator = {}});
-        }
     }
     if (!output.committed.empty()) {
         m_store.noteCommit(output.committed.back().index);
         m_listener.onLedger(m_ledger.state());
     }
+    // Only now: who was told that a change is accepted must not read an older state here.
+    for (const auto &[done, verdict] : reached) {
+        done(verdict);
+    }
 }
 
 void replica_engine::compactIfLong()
--- a/src/replica/rule_ledger.cpp
+++ b/src/replica/rule_ledger.cpp
@@ -19,6 +19,12 @@
     if (const auto *epoch = std::get_if<claim_epoch>(&entry.body)) {
         open(*epoch);
     }
+    if (const auto *table = std::get_if<routing_table>(&entry.body); table != nullptr && table->version > m_state.routing.version) {
+        m_state.routing = *table;
+    }
+    if (const auto *order = std::get_if<evacuation_order>(&entry.body)) {
+        evacuate(*order);
+    }
     return {.error = errc::ok, .version = m_state.version, .winner = {}, .winnerOperator = {}};
 }
 
@@ -82,6 +88,15 @@
     return verdict;
 }
 
+void rule_ledger::evacuate(const evacuation_order &order)
+{
+    auto &domains = m_state.evacuated;
+    std::erase(domains, order.domain);
+    if (order.active) {
+        domains.insert(std::ranges::upper_bound(domains, order.domain), order.domain);
+    }
+}
+
 void rule_ledger::open(const claim_epoch &epoch)
 {
     std::uint64_t newest = 0;
--- a/src/replica/voter_repair.cpp
+++ b/src/replica/voter_repair.cpp
@@ -29,14 +29,26 @@
     if (auto promoted = withPromotion(core, now)) {
         return promoted;
     }
-    return withLearner(core.config());
+    return withLearner(core, now);
 }
 
-std::optional<replica_config> voter_repair::withLearner(const replica_config &config) const
+std::optional<replica_id> voter_repair::silentVoter(const replica_core &core, steady_time now) const
 {
+    for (const auto &voter : core.config().voters) {
+        const auto progress = core.progress().find(voter.disk);
+        if (progress != core.progress().end() && now > progress->second.lastReply + m_patience) {
+            return voter;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<replica_config> voter_repair::withLearner(const replica_core &core, steady_time now) const
+{
+    const auto &config = core.config();
     for (const auto &join : m_joins) {
         const bool replaces = std::ranges::find(config.voters, join.replica.host, &replica_id::host) != config.voters.end();
-        if (!replaces && config.voters.size() >= m_targetVoters) {
+        if (!replaces && config.voters.size() >= m_targetVoters && !silentVoter(core, now)) {
             continue;
         }
         replica_config changed = config;
@@ -70,6 +82,11 @@
             changed.voters.push_back(learner);
             return changed;
         }
+        // A host that has gone for good makes room for one at another address.
+        if (const auto silent = silentVoter(core, now)) {
+            std::erase(changed.voters, *silent);
+            return changed;
+        }
     }
     return std::nullopt;
 }
--- a/src/rpc/grpc_peer_server.cpp
+++ b/src/rpc/grpc_peer_server.cpp
@@ -1,4 +1,5 @@
 #include "codec/peer_codec.h"
+#include "grpc_listener.h"
 #include "rpc/peer_client.h"
 #include "tls_credentials.h"
 
@@ -15,8 +16,6 @@
 namespace
 {
 
-constexpr int messageBytesMaximum = 128 << 20;
-
 using context_pointer = grpc::CallbackServerContext *;
 
 // Cancels a handler's work once, when both the wish and the means are there.
@@ -225,59 +224,11 @@
     control_meter *m_meter;
 };
 
-class grpc_peer_server final : public peer_server
-{
-public:
-    grpc_peer_server(peer_handler &handler, control_meter *meter)
-        : m_service(handler, meter)
-    {
-    }
-
-    ~grpc_peer_server() override
-    {
-        stop(milliseconds(0));
-    }
-
-    bool listen(const std::string &address, const tls_files &tls)
-    {
-        grpc::ServerBuilder builder;
-        builder.AddListeningPort(address, makeServerCredentials(tls), &m_port);
-        builder.RegisterService(&m_service);
-        builder.SetMaxReceiveMessageSize(messageBytesMaximum);
-        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-        m_server = builder.BuildAndStart();
-        return m_server != nullptr && m_port > 0;
-    }
-
-    [[nodiscard]] int port() const override
-    {
-        return m_port;
-    }
-
-    void stop(milliseconds grace) override
-    {
-        if (m_server) {
-            m_server->Shutdown(std::chrono::system_clock::now() + grace);
-            m_server->Wait();
-            m_server.reset();
-        }
-    }
-
-private:
-    peer_service m_service;
-    std::unique_ptr<grpc::Server> m_server;
-    int m_port = 0;
-};
-
 } // namespace
 
 result<std::unique_ptr<peer_server>> makeGrpcPeerServer(const std::string &address, const tls_files &tls, peer_handler &handler, control_meter *meter)
 {
-    auto server = std::make_unique<grpc_peer_server>(handler, meter);
-    if (!server->listen(address, tls)) {
-        return errc::ioFailed;
-    }
-    return std::unique_ptr<peer_server>(std::move(server));
+    return listenFor(address, tls, std::make_unique<peer_service>(handler, meter));
 }
 
 } // namespace hornbeampick
--- /dev/null
+++ b/src/rules/routing_table.cpp
@@ -0,0 +1,74 @@
+#include "rules/routing_table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+std::string lowered(std::string_view text)
+{
+    std::string out(text);
+    std::ranges::transform(out, out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+bool routeIsValid(const route &checked, const std::set<service_name> &known)
+{
+    if (checked.hostname.empty() || checked.attempts == 0 || checked.services.empty()) {
+        return false;
+    }
+    double total = 0;
+    for (const auto &[service, weight] : checked.services) {
+        if (weight < 0 || !known.contains(service)) {
+            return false;
+        }
+        total += weight;
+    }
+    return total > 0;
+}
+
+} // namespace
+
+const routed_service *routing_table::serviceNamed(const service_name &name) const
+{
+    const auto found = std::ranges::find(services, name, &routed_service::name);
+    return found == services.end() ? nullptr : &*found;
+}
+
+status checkRouting(const routing_table &table)
+{
+    std::set<service_name> known;
+    for (const auto &service : table.services) {
+        known.insert(service.name);
+    }
+    const bool valid = table.version > 0 && std::ranges::all_of(table.routes, [&](const route &each) { return routeIsValid(each, known); });
+    return valid ? status(success()) : status(make_error_code(errc::routingInvalid));
+}
+
+route_index::route_index(std::shared_ptr<const routing_table> table)
+    : m_table(std::move(table))
+{
+    for (const auto &each : m_table->routes) {
+        m_byHostname[lowered(each.hostname)].push_back(&each);
+    }
+    for (auto &[hostname, routes] : m_byHostname) {
+        std::ranges::stable_sort(routes, std::greater<> {}, [](const route *each) { return each->pathPrefix.size(); });
+    }
+}
+
+const route *route_index::find(std::string_view hostname, std::string_view path) const
+{
+    const auto found = m_byHostname.find(lowered(hostname.substr(0, hostname.find(':'))));
+    if (found == m_byHostname.end()) {
+        return nullptr;
+    }
+    const auto plain = path.substr(0, path.find('?'));
+    const auto match = std::ranges::find_if(found->second, [&](const route *each) { return plain.starts_with(each->pathPrefix); });
+    return match == found->second.end() ? nullptr : *match;
+}
+
+} // namespace hornbeampick
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -1,9 +1,11 @@
 #include "settings/settings_file.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <fstream>
 #include <google/protobuf/descriptor.h>
 #include <google/protobuf/message.h>
+#include <map>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -247,11 +249,58 @@
     std::vector<settings_error> m_errors;
 };
 
-settings_parse failed(std::string_view file, std::uint32_t line, std::string_view key, std::string_view expected)
+// Reads `text` into `settings`; returns what is wrong.
+std::vector<settings_error> readYaml(std::string_view text, std::string_view file, pb::Message &settings)
 {
-    settings_parse parse;
-    parse.errors.push_back({.file = std::string(file), .line = line, .key = std::string(key), .expected = std::string(expected)});
-    return parse;
+    try {
+        const YAML::Node root = YAML::Load(std::string(text));
+        settings_reader reader(file);
+        reader.readMessage(root, settings, "");
+        return reader.take();
+    } catch (const YAML::Exception &error) {
+        return {{.file = std::string(file), .line = static_cast<std::uint32_t>(error.mark.line + 1), .key = "yaml", .expected = error.msg}};
+    }
+}
+
+std::optional<std::string> contentOf(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+settings_error unreadable(const std::string &path)
+{
+    return {.file = path, .line = 0, .key = "file", .expected = "a file that can be read"};
+}
+
+bool isEndpoint(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    return colon != std::string::npos && isAddress(text.substr(0, colon)) && std::atoi(text.c_str() + colon + 1) > 0;
+}
+
+// Checks of a node's settings that span several keys.
+std::vector<settings_error> checkNode(const schema::node_settings &settings, std::string_view file)
+{
+    std::vector<settings_error> errors;
+    const auto expect = [&](bool holds, std::string_view key, std::string_view expected) {
+        if (!holds) {
+            errors.push_back({.file = std::string(file), .line = 0, .key = std::string(key), .expected = std::string(expected)});
+        }
+    };
+    const topology fleet = topologyOf(settings);
+    expect(fleet.regionOf(domain_name(settings.failure_domain())) == region_name(settings.region()), "failureDomain", "a failure domain of this host's region");
+    expect(settings.front().empty() != settings.control().empty(), "front", "either 'front' or 'control'");
+    expect(settings.front().empty() || isEndpoint(settings.front()), "front", "an IP number and port");
+    expect(settings.control().empty() || isEndpoint(settings.control()), "control", "an IP number and port");
+    expect(settings.control().empty() || !settings.data_folder().empty(), "dataFolder", "a folder; a control host has a disk");
+    expect(isEndpoint(settings.rpc()), "rpc", "an IP number and port");
+    return errors;
 }
 
 } // namespace
@@ -268,15 +317,8 @@
 settings_parse parseSettings(std::string_view text, std::string_view file)
 {
     auto settings = std::make_shared<schema::daemon_settings>();
-    try {
-        const YAML::Node root = YAML::Load(std::string(text));
-        settings_reader reader(file);
-        reader.readMessage(root, *settings, "");
-        if (auto errors = reader.take(); !errors.empty()) {
-            return {.settings = nullptr, .errors = std::move(errors)};
-        }
-    } catch (const YAML::Exception &error) {
-        return failed(file, static_cast<std::uint32_t>(error.mark.line + 1), "yaml", error.msg);
+    if (auto errors = readYaml(text, file, *settings); !errors.empty()) {
+        return {.settings = nullptr, .errors = std::move(errors)};
     }
     if (auto errors = settings_checker(*settings, file).check(); !errors.empty()) {
         return {.settings = nullptr, .errors = std::move(errors)};
@@ -286,13 +328,26 @@
 
 settings_parse loadSettings(const std::string &path)
 {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return failed(path, 0, "file", "a file that can be read");
+    const auto content = contentOf(path);
+    return content ? parseSettings(*content, path) : settings_parse {.settings = nullptr, .errors = {unreadable(path)}};
+}
+
+node_settings_parse parseNodeSettings(std::string_view text, std::string_view file)
+{
+    auto settings = std::make_shared<schema::node_settings>();
+    if (auto errors = readYaml(text, file, *settings); !errors.empty()) {
+        return {.settings = nullptr, .errors = std::move(errors)};
     }
-    std::ostringstream content;
-    content << file.rdbuf();
-    return parseSettings(content.str(), path);
+    if (auto errors = checkNode(*settings, file); !errors.empty()) {
+        return {.settings = nullptr, .errors = std::move(errors)};
+    }
+    return {.settings = std::move(settings), .errors = {}};
+}
+
+node_settings_parse loadNodeSettings(const std::string &path)
+{
+    const auto content = contentOf(path);
+    return content ? parseNodeSettings(*content, path) : node_settings_parse {.settings = nullptr, .errors = {unreadable(path)}};
 }
 
 topology topologyOf(const schema::daemon_settings &settings)
@@ -308,6 +363,22 @@
     return topology(std::move(regions));
 }
 
+topology topologyOf(const schema::node_settings &settings)
+{
+    std::map<std::string, region_domains> regions;
+    for (const auto &domain : settings.failure_domains()) {
+        auto &region = regions[domain.region()];
+        region.name = region_name(domain.region());
+        region.domains.emplace_back(domain.failure_domain());
+    }
+    std::vector<region_domains> sorted;
+    for (auto &[name, region] : regions) {
+        std::ranges::sort(region.domains);
+        sorted.push_back(std::move(region));
+    }
+    return topology(std::move(sorted));
+}
+
 std::vector<service_name> servicesOf(const schema::daemon_settings &settings)
 {
     std::vector<service_name> services;
--- a/src/steering/retry_budget.cpp
+++ b/src/steering/retry_budget.cpp
@@ -9,6 +9,7 @@
 
 retry_budget::retry_budget(const retry_budget_options &options)
     : m_options(options)
+    , m_most(options.most)
 {
 }
 
@@ -22,11 +23,16 @@
     add(service, 1);
 }
 
+void retry_budget::setMost(double most)
+{
+    m_most = most;
+}
+
 void retry_budget::add(const service_name &service, double earned)
 {
     m_tokens.with(stableHash(service.view()), [&](tokens &all) {
         double &left = tokensOf(all, service);
-        left = std::min(left + earned, m_options.most);
+        left = std::min(left + earned, m_most.load());
     });
 }
 
