--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -150,18 +150,21 @@
             logEvent(log_level::warning, "routes-refused", {{"version", version}, errorField(checked.error())});
             co_return checked.error();
         }
-        co_return co_await submit(std::move(table), "routes", version);
+        entry_body body = std::move(table);
+        co_return co_await submit(std::move(body), "routes", version);
     }
 
     asio::awaitable<status> evacuate(evacuation_order order) override
     {
-        co_return co_await submit(std::move(order), "evacuation", 0);
+        entry_body body = std::move(order);
+        co_return co_await submit(std::move(body), "evacuation", 0);
     }
 
     asio::awaitable<result<routing_table>> readRouting() override
     {
         // An entry of its own proves that this host still leads.
-        const auto proved = co_await submit(barrier_entry {}, "read", 0);
+        entry_body barrier = barrier_entry {};
+        const auto proved = co_await submit(std::move(barrier), "read", 0);
         if (!proved) {
             co_return proved.error();
         }
