dispatcher: two upstreams an object, a wait there; the share to other regions from the first demand

Cause: at high load nearly every run was cold. Objects are few (69 a region and service, by the keys in the requests), so each can be warm. And the share to other regions took 11 s to reach its place after each start. Change: the first of two upstreams by score unless its wait is longer by 0.3 of the work; spare slots elsewhere only below 70 % fill; the share follows demand for 0.6 s after the first request. Conclusion: keep objects where they are warm, and wait there.

--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -165,6 +165,10 @@
     [[nodiscard]] double estimate(const lane &each, steady_time now) const;
     [[nodiscard]] double usableSlots(const service_board &board, const lane &each) const;
     dispatch_verdict choose(service_board &board, const dispatch_request &request, steady_time now);
+    [[nodiscard]] static const candidate *chooseKept(std::span<const candidate> candidates, bool spills, double workMs);
+    [[nodiscard]] static const candidate *chooseSpare(std::span<const candidate> candidates, bool spills, bool mayLeave);
+    [[nodiscard]] static double allowedWaitMs(const dispatch_request &request, double workMs);
+    [[nodiscard]] bool mayTakeCold(const service_board &board, lane &cold, steady_time now) const;
     dispatch_refusal refusal(const service_board &board) const;
     void judge(service_board &board, lane &used, dispatch_end end, steady_time now);
     void place(const known_upstream &known, steady_time now);
--- a/include/steering/spill_share.h
+++ b/include/steering/spill_share.h
@@ -19,20 +19,35 @@
     milliseconds interval {250};
     double step = 0.0125;
     double most = 0.9;
+    // For this long after the first request the share follows the demand at once: there is no window before to shift from.
+    milliseconds settling {600};
+    milliseconds settlingInterval {100};
+};
+
+/// How busy the home region and the others are when a request arrives, in slots; more than there are when requests wait.
+struct spill_sample {
+    double homeLoad = 0;
+    double homeSlots = 0;
+    double othersLoad = 0;
+    double othersSlots = 0;
+    // Entry hosts among which the region's requests are spread.
+    std::uint32_t hosts = 1;
+    // Usual work of a request, in milliseconds.
+    double workMs = 0;
 };
 
 /// The share of a service's objects that an entry host sends to other regions.
 ///
 /// Answers a region with few slots and many callers: its load stays above its slots for many seconds, while
-/// other regions have room. The share moves in small steps, so that objects move seldom and stay warm where
-/// they are. Single-threaded.
+/// other regions have room. The share starts from the demand of the first moments; from then on it moves in small steps, so
+/// that objects move seldom and stay warm where they are. Single-threaded.
 class spill_share
 {
 public:
     explicit spill_share(const spill_options &options = {});
 
-    /// Notes how busy the home region and the others are, as parts of their slots; beyond 1 when requests wait.
-    void observe(double home, double others, steady_time now);
+    /// Called for each request that arrives, before it is placed.
+    void observe(const spill_sample &sample, steady_time now);
 
     [[nodiscard]] double share() const
     {
@@ -42,13 +57,17 @@
     [[nodiscard]] bool spills(std::uint64_t objectHash) const;
 
 private:
+    void settle(const spill_sample &sample, steady_time now);
     void stepOnce();
 
     spill_options m_options;
     double m_share = 0;
+    // Sums of fills since the last step.
     double m_homeSum = 0;
     double m_othersSum = 0;
     std::size_t m_samples = 0;
+    std::size_t m_arrivals = 0;
+    steady_time m_startedAt {};
     steady_time m_nextStep {};
 };
 
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -33,8 +33,14 @@
 // A request may wait for this part of the usual work even when its answer will then be late.
 constexpr double patience = 0.35;
 constexpr std::array rankPatience {1.6, 1.25, 1.0};
+// The wait at an object's first upstream must be longer by this part of the work before the second takes it.
+constexpr double secondPenalty = 0.3;
+// Upstreams filled further than this have no slots to spare for objects that are cold there.
+constexpr double spareBelow = 0.7;
 // Work that is assumed before any answer, in milliseconds.
 constexpr double defaultWorkMs = 300;
+// Before any answer, the work that callers will see once objects are warm, as a part of the time that they expect.
+constexpr double workGuess = 0.45;
 constexpr double retryShortestMs = 100;
 constexpr double retryLongestMs = 1500;
 
@@ -72,6 +78,11 @@
     {
         return load / slots;
     }
+    // Until a slot is free for one more request.
+    [[nodiscard]] double waitMs(double workMs) const
+    {
+        return std::max(0.0, (load + 1 - slots) / slots * workMs);
+    }
 };
 
 dispatcher::dispatcher(const dispatcher_options &options, const topology &fleet, clock_source &clock, random_source &random)
@@ -233,7 +244,16 @@
         (each.home ? homeLoad : farLoad) += each.load;
         (each.home ? homeSlots : farSlots) += each.slots;
     }
-    board.spill.observe(homeSlots > 0 ? homeLoad / homeSlots : 1.0, farSlots > 0 ? farLoad / farSlots : 2.0, now);
+    board.spill.observe(
+        {
+            .homeLoad = homeLoad,
+            .homeSlots = homeSlots,
+            .othersLoad = farLoad,
+            .othersSlots = farSlots,
+            .hosts = m_hostsInRegion,
+            .workMs = board.workMs > 0 ? board.workMs : workGuess * static_cast<double>(request.targetLatency.count()),
+        },
+        now);
     board.overflowTokens = std::min(board.overflowTokens + overflowPart, overflowMost);
 
     const std::uint64_t object = request.object.value_or(m_random.next());
@@ -245,46 +265,15 @@
         }
         return request.object ? a.score > b.score : a.fill() < b.fill();
     });
+    std::erase_if(candidates, [&](const candidate &each) { return each.cold && !mayTakeCold(board, *each.where, now); });
 
-    candidate *chosen = nullptr;
-    for (auto &each : candidates) {
-        const bool preferred = each.home != spills;
-        if (!each.hasRoom()) {
-            continue;
-        }
-        if (!preferred && board.overflowTokens < 1) {
-            break;
-        }
-        if (each.cold) {
-            const double rate = coldPart * board.coldPerSecond / m_hostsInRegion.load();
-            each.where->coldLimit.setLimit(static_cast<std::uint64_t>(std::max(1.0, std::floor(rate))));
-            if (!each.where->coldLimit.take(1, now)) {
-                continue;
-            }
-        }
-        if (!preferred) {
+    const double work = board.workMs > 0 ? board.workMs : defaultWorkMs;
+    const candidate *chosen = chooseKept(candidates, spills, work);
+    if (chosen == nullptr || chosen->waitMs(work) > allowedWaitMs(request, work)) {
+        chosen = chooseSpare(candidates, spills, board.overflowTokens >= 1);
+        if (chosen != nullptr && chosen->home == spills) {
             board.overflowTokens -= 1;
         }
-        chosen = &each;
-        break;
-    }
-    const bool slotFree = chosen != nullptr;
-    if (chosen == nullptr) {
-        // Every slot is taken: wait at the one with the shortest queue, if the answer can still be in time.
-        const double work = board.workMs > 0 ? board.workMs : defaultWorkMs;
-        const double late = static_cast<double>((request.targetLatency - request.elapsed).count()) - work;
-        const double allowed = std::min(std::max(late, patience * work) * patienceOf(request.rank), static_cast<double>(request.remaining.count()) - work);
-        double shortest = std::numeric_limits<double>::max();
-        for (auto &each : candidates) {
-            const double wait = (each.load + 1 - each.slots) / each.slots * work;
-            if (each.home != spills && !each.cold && wait < shortest) {
-                shortest = wait;
-                chosen = &each;
-            }
-        }
-        if (shortest > allowed) {
-            chosen = nullptr;
-        }
     }
     if (chosen == nullptr) {
         auto refused = refusal(board);
@@ -293,6 +282,10 @@
         }
         return refused;
     }
+    const bool slotFree = chosen->hasRoom();
+    if (chosen->cold) {
+        chosen->where->coldLimit.take(1, now);
+    }
     ++chosen->where->inFlight;
     const auto &report = chosen->where->report;
     return dispatch_grant {
@@ -305,6 +298,63 @@
     };
 }
 
+// Each object has two upstreams where it is warm, or soon will be; the second takes it when the wait at the first is
+// longer by a part of the work. Spreading it further would make it cold everywhere just when slots are scarce.
+const dispatcher::candidate *dispatcher::chooseKept(std::span<const candidate> candidates, bool spills, double workMs)
+{
+    const candidate *first = nullptr;
+    const candidate *second = nullptr;
+    for (const auto &each : candidates) {
+        if (each.home == spills) {
+            continue;
+        }
+        if (first == nullptr) {
+            first = &each;
+        } else {
+            second = &each;
+            break;
+        }
+    }
+    if (second != nullptr && second->waitMs(workMs) + secondPenalty * workMs < first->waitMs(workMs)) {
+        return second;
+    }
+    return first;
+}
+
+// Any upstream with slots to spare, though the object is cold there: first on the side that the object belongs to.
+const dispatcher::candidate *dispatcher::chooseSpare(std::span<const candidate> candidates, bool spills, bool mayLeave)
+{
+    const candidate *best = nullptr;
+    for (const auto &each : candidates) {
+        const bool kept = each.home != spills;
+        const bool spare = each.hasRoom() && each.fill() < spareBelow;
+        if (!spare || (!kept && !mayLeave)) {
+            continue;
+        }
+        const bool better = best == nullptr || (kept && best->home == spills) || (kept == (best->home != spills) && each.fill() < best->fill());
+        if (better) {
+            best = &each;
+        }
+    }
+    return best;
+}
+
+// As long as the answer can still be in time, or at least a part of the usual work; longer for more urgent requests.
+double dispatcher::allowedWaitMs(const dispatch_request &request, double workMs)
+{
+    const double spare = static_cast<double>((request.targetLatency - request.elapsed).count()) - workMs;
+    const double most = static_cast<double>(request.remaining.count()) - workMs;
+    return std::min(std::max(spare, patience * workMs) * patienceOf(request.rank), most);
+}
+
+// A cold upstream's few requests a second are shared by the entry hosts of its region.
+bool dispatcher::mayTakeCold(const service_board &board, lane &cold, steady_time now) const
+{
+    const double rate = std::floor(coldPart * board.coldPerSecond / m_hostsInRegion.load());
+    cold.coldLimit.setLimit(static_cast<std::uint64_t>(std::max(1.0, rate)));
+    return cold.coldLimit.used(now) < cold.coldLimit.limit();
+}
+
 // Callers that are turned away together come back spread over the time that a slot takes to become free.
 dispatch_refusal dispatcher::refusal(const service_board &board) const
 {
--- a/src/steering/spill_share.cpp
+++ b/src/steering/spill_share.cpp
@@ -6,27 +6,53 @@
 namespace hornbeampick
 {
 
+namespace
+{
+
+// Fill of regions without any slot.
+constexpr double nowhere = 2;
+
+} // namespace
+
 spill_share::spill_share(const spill_options &options)
     : m_options(options)
 {
 }
 
-void spill_share::observe(double home, double others, steady_time now)
+void spill_share::observe(const spill_sample &sample, steady_time now)
 {
-    m_homeSum += home;
-    m_othersSum += others;
+    if (m_startedAt == steady_time {}) {
+        m_startedAt = now;
+        m_nextStep = now + m_options.settlingInterval;
+    }
+    ++m_arrivals;
     ++m_samples;
+    m_homeSum += sample.homeSlots > 0 ? sample.homeLoad / sample.homeSlots : 1;
+    m_othersSum += sample.othersSlots > 0 ? sample.othersLoad / sample.othersSlots : nowhere;
     if (now < m_nextStep) {
         return;
     }
-    if (m_nextStep != steady_time {}) {
+    const bool settling = now < m_startedAt + m_options.settling;
+    if (settling) {
+        settle(sample, now);
+    } else {
         stepOnce();
     }
-    m_nextStep = now + m_options.interval;
+    m_nextStep = now + (settling ? m_options.settlingInterval : m_options.interval);
     m_homeSum = m_othersSum = 0;
     m_samples = 0;
 }
 
+// The demand by the first arrivals, against the slots at home.
+void spill_share::settle(const spill_sample &sample, steady_time now)
+{
+    const double elapsedMs = std::chrono::duration<double, std::milli>(now - m_startedAt).count();
+    const double demand = static_cast<double>(m_arrivals) / elapsedMs * sample.hosts * sample.workMs;
+    if (demand > 0 && sample.othersSlots > 0) {
+        m_share = std::clamp(1 - m_options.giveAbove * sample.homeSlots / demand, 0.0, m_options.most);
+    }
+}
+
 bool spill_share::spills(std::uint64_t objectHash) const
 {
     constexpr auto range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
