--- a/include/steering/spill_share.h
+++ b/include/steering/spill_share.h
@@ -17,7 +17,7 @@
     double fullAbove = 0.85;
     // Time between two steps, and the change of one: under the bound on shifts between two windows of 2 s.
     milliseconds interval {250};
-    double step = 0.0125;
+    double step = 0.01;
     double most = 0.9;
     // For this long after the first request the share follows the demand at once: there is no window before to shift from.
     milliseconds settling {600};
--- /dev/null
+++ b/tests/fakes/load_replay.cpp
@@ -0,0 +1,254 @@
+#include "fakes/load_replay.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <deque>
+#include <list>
+#include <map>
+#include <queue>
+#include <random>
+
+namespace hornbeampick::testing
+{
+
+namespace
+{
+
+struct running_request {
+    std::size_t entry = 0;
+    std::size_t object = 0;
+    steady_time arrivedAt {};
+    dispatch_grant grant;
+    bool far = false;
+};
+
+// An upstream with slots, a queue and a memory of objects.
+struct replay_upstream {
+    std::size_t region = 0;
+    std::uint32_t running = 0;
+    std::deque<running_request> waiting;
+    // Most lately handled first.
+    std::list<std::size_t> remembered;
+
+    bool remember(std::size_t object, std::size_t keeps)
+    {
+        const auto found = std::ranges::find(remembered, object);
+        const bool warm = found != remembered.end();
+        if (warm) {
+            remembered.erase(found);
+        }
+        remembered.push_front(object);
+        if (remembered.size() > keeps) {
+            remembered.pop_back();
+        }
+        return warm;
+    }
+};
+
+class replay_player
+{
+public:
+    explicit replay_player(const replay_load &load)
+        : m_load(load)
+        , m_fleet(fleetOf(load))
+        , m_random(load.seed)
+        , m_engine(load.seed)
+        , m_start(m_clock.now())
+    {
+        std::vector<known_upstream> known;
+        for (std::size_t region = 0; region < load.regions.size(); ++region) {
+            for (std::size_t i = 0; i < load.service.upstreams.at(region); ++i) {
+                const auto name = load.regions[region].name + "-" + std::to_string(i);
+                m_upstreams[name] = {.region = region};
+                known.push_back({.report = {.service = service_name(load.service.name),
+                                            .instance = instance_name(name),
+                                            .address = name,
+                                            .domain = domain_name(load.regions[region].name + "-a"),
+                                            .incarnation = 1,
+                                            .slots = load.service.slots}});
+            }
+        }
+        for (std::size_t region = 0; region < load.regions.size(); ++region) {
+            for (std::size_t i = 0; i < load.regions[region].entryHosts; ++i) {
+                dispatcher_options options;
+                options.region = region_name(load.regions[region].name);
+                m_entries.push_back(std::make_unique<dispatcher>(options, m_fleet, m_clock, m_random));
+                m_entries.back()->setUpstreams(known);
+                m_entries.back()->setHostsInRegion(static_cast<std::uint32_t>(load.regions[region].entryHosts));
+                m_regionOf.push_back(region);
+            }
+        }
+        m_elsewhere.resize(load.regions.size());
+    }
+
+    replay_result play()
+    {
+        for (std::size_t region = 0; region < m_load.regions.size(); ++region) {
+            scheduleArrival(region);
+        }
+        while (!m_events.empty() && m_events.top().at <= m_start + m_load.duration) {
+            const auto next = m_events.top();
+            m_events.pop();
+            m_clock.advance(std::chrono::duration_cast<microseconds>(next.at - m_clock.now()));
+            next.act();
+        }
+        measureShifts();
+        return m_result;
+    }
+
+private:
+    struct event {
+        steady_time at {};
+        std::uint64_t order = 0;
+        std::function<void()> act;
+
+        bool operator<(const event &other) const
+        {
+            return std::tie(other.at, other.order) < std::tie(at, order);
+        }
+    };
+
+    static topology fleetOf(const replay_load &load)
+    {
+        std::vector<region_domains> regions;
+        for (const auto &region : load.regions) {
+            regions.push_back({.name = region_name(region.name), .domains = {domain_name(region.name + "-a")}});
+        }
+        return topology(std::move(regions));
+    }
+
+    void schedule(microseconds after, std::function<void()> act)
+    {
+        m_events.push({.at = m_clock.now() + after, .order = m_order++, .act = std::move(act)});
+    }
+
+    void scheduleArrival(std::size_t region)
+    {
+        std::exponential_distribution<double> gap(m_load.regions[region].perSecond);
+        schedule(microseconds(static_cast<std::int64_t>(gap(m_engine) * 1e6)), [this, region] {
+            arrive(region);
+            scheduleArrival(region);
+        });
+    }
+
+    bool counts() const
+    {
+        return m_clock.now() >= m_start + m_load.from;
+    }
+
+    void arrive(std::size_t region)
+    {
+        std::vector<std::size_t> entries;
+        for (std::size_t i = 0; i < m_entries.size(); ++i) {
+            if (m_regionOf[i] == region) {
+                entries.push_back(i);
+            }
+        }
+        const auto entry = entries[m_engine() % entries.size()];
+        const std::size_t object = region * 1000 + m_engine() % m_load.regions[region].objects;
+        m_result.asked += counts() ? 1 : 0;
+        auto verdict = m_entries[entry]->take({
+            .service = service_name(m_load.service.name),
+            .object = stableHash(std::to_string(object)),
+            .rank = m_load.rank,
+            .targetLatency = m_load.targetLatency,
+            .elapsed = milliseconds(0),
+            .remaining = m_load.deadline,
+        });
+        if (std::holds_alternative<dispatch_refusal>(verdict)) {
+            m_result.refused += counts() ? 1 : 0;
+            return;
+        }
+        running_request request {.entry = entry, .object = object, .arrivedAt = m_clock.now(), .grant = std::get<dispatch_grant>(std::move(verdict))};
+        auto &upstream = m_upstreams.at(request.grant.instance.string());
+        request.far = upstream.region != region;
+        noteRegion(region, request.far);
+        if (upstream.running < m_load.service.slots) {
+            run(upstream, std::move(request));
+        } else if (upstream.waiting.size() < m_load.service.queue) {
+            upstream.waiting.push_back(std::move(request));
+        } else {
+            m_entries[entry]->finish(request.grant, dispatch_end::shed, loadOf(upstream));
+            m_result.refused += counts() ? 1 : 0;
+        }
+    }
+
+    void run(replay_upstream &upstream, running_request request)
+    {
+        ++upstream.running;
+        const bool warm = upstream.remember(request.object, m_load.service.keeps);
+        if (counts()) {
+            ++m_result.run;
+            m_result.warm += warm ? 1 : 0;
+        }
+        std::normal_distribution<double> spread(1, 0.15);
+        const double work = (warm ? m_load.service.warmMs : m_load.service.coldMs) * std::clamp(spread(m_engine), 0.5, 2.0);
+        schedule(microseconds(static_cast<std::int64_t>(work * 1000)), [this, &upstream, request = std::move(request)] { answer(upstream, request); });
+    }
+
+    void answer(replay_upstream &upstream, const running_request &request)
+    {
+        --upstream.running;
+        if (!upstream.waiting.empty()) {
+            auto next = std::move(upstream.waiting.front());
+            upstream.waiting.pop_front();
+            run(upstream, std::move(next));
+        }
+        m_entries[request.entry]->finish(request.grant, dispatch_end::answered, loadOf(upstream));
+        if (request.arrivedAt < m_start + m_load.from) {
+            return;
+        }
+        const auto taken = m_clock.now() - request.arrivedAt + (request.far ? m_load.distance : milliseconds(0));
+        ++(taken <= m_load.targetLatency ? m_result.inTime : m_result.late);
+    }
+
+    load_report loadOf(const replay_upstream &upstream) const
+    {
+        return {.running = upstream.running, .waiting = static_cast<std::uint32_t>(upstream.waiting.size()), .slots = m_load.service.slots};
+    }
+
+    void noteRegion(std::size_t region, bool far)
+    {
+        const auto window = static_cast<std::size_t>((m_clock.now() - m_start) / seconds(2));
+        auto &windows = m_elsewhere[region];
+        windows.resize(std::max(windows.size(), window + 1));
+        windows[window].first += far ? 1 : 0;
+        ++windows[window].second;
+    }
+
+    void measureShifts()
+    {
+        for (const auto &windows : m_elsewhere) {
+            for (std::size_t i = 1; i < windows.size(); ++i) {
+                const auto part
+                    = [&](std::size_t at) { return static_cast<double>(windows[at].first) / std::max(1.0, static_cast<double>(windows[at].second)); };
+                m_result.largestShift = std::max(m_result.largestShift, std::abs(part(i) - part(i - 1)));
+            }
+        }
+    }
+
+    replay_load m_load;
+    manual_clock m_clock;
+    topology m_fleet;
+    seeded_random_source m_random;
+    std::mt19937_64 m_engine;
+    steady_time m_start;
+    std::map<std::string, replay_upstream> m_upstreams;
+    std::vector<std::unique_ptr<dispatcher>> m_entries;
+    std::vector<std::size_t> m_regionOf;
+    std::priority_queue<event> m_events;
+    std::uint64_t m_order = 0;
+    // By region and window of 2 s: requests served elsewhere, and all.
+    std::vector<std::vector<std::pair<std::size_t, std::size_t>>> m_elsewhere;
+    replay_result m_result;
+};
+
+} // namespace
+
+replay_result replay(const replay_load &load)
+{
+    return replay_player(load).play();
+}
+
+} // namespace hornbeampick::testing
--- /dev/null
+++ b/tests/fakes/scripted_upstream.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace hornbeampick::testing
+{
+
+/// One request as an upstream read it, byte for byte.
+struct received_request {
+    std::string head;
+    std::string body;
+
+    /// The value of a field of the head, by its exact name; empty when absent.
+    [[nodiscard]] std::string field(const std::string &name) const;
+    [[nodiscard]] std::string line() const;
+};
+
+/// An upstream on a free port of 127.0.0.1 whose bytes a test writes itself. A thread a connection.
+class scripted_upstream
+{
+public:
+    using socket = boost::asio::ip::tcp::socket;
+    /// Answers one request by writing to the socket; returns false to close the connection.
+    using script = std::function<bool(const received_request &, socket &)>;
+
+    explicit scripted_upstream(script answer);
+    ~scripted_upstream();
+    scripted_upstream(const scripted_upstream &) = delete;
+    scripted_upstream &operator=(const scripted_upstream &) = delete;
+
+    [[nodiscard]] std::string address() const;
+    [[nodiscard]] std::size_t requests() const;
+    [[nodiscard]] std::size_t connections() const;
+    [[nodiscard]] received_request last() const;
+    /// Refuses connections and ends open ones.
+    void close();
+
+    /// Writes all of `bytes`.
+    static void write(socket &to, const std::string &bytes);
+    /// A whole answer to `request`, with its id and the upstream's mark.
+    static std::string answer(const received_request &request, const std::string &body, const std::string &more = "");
+    /// True when the other side closes within `wait`.
+    static bool awaitClose(socket &from, std::chrono::milliseconds wait);
+
+private:
+    void accept();
+    void serve(const std::shared_ptr<socket> &connection);
+
+    script m_answer;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::atomic<bool> m_closed {false};
+    mutable std::mutex m_lock;
+    // Guarded by m_lock.
+    std::vector<std::shared_ptr<socket>> m_sockets;
+    std::vector<std::thread> m_threads;
+    std::vector<received_request> m_requests;
+    std::thread m_acceptThread;
+};
+
+} // namespace hornbeampick::testing
--- /dev/null
+++ b/tests/fleet/announcement_test.cpp
@@ -0,0 +1,186 @@
+#include "fakes/manual_clock.h"
+#include "fleet/announcement_log.h"
+#include "fleet/entry_host_list.h"
+#include "fleet/upstream_directory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hornbeampick;
+using namespace hornbeampick::testing;
+
+namespace
+{
+
+upstream_report reportOf(std::string_view instance, std::uint64_t born, wall_ms sequence, upstream_state state = upstream_state::active)
+{
+    return {
+        .service = service_name("s"),
+        .instance = instance_name(instance),
+        .address = "10.0.0.1:80",
+        .domain = domain_name("d"),
+        .incarnation = born,
+        .slots = 4,
+        .state = state,
+        .reportedAt = sequence,
+    };
+}
+
+entry_host hostOf(std::string_view name, std::string_view region, bool serving = true)
+{
+    return {.host = host_name(name), .address = std::string(name) + ":80", .region = region_name(region), .incarnation = 1, .serving = serving};
+}
+
+const known_upstream &only(const std::vector<known_upstream> &all)
+{
+    REQUIRE(all.size() == 1);
+    return all.front();
+}
+
+} // namespace
+
+TEST_CASE("announcements: only what changes is numbered; an outdated report changes nothing", "[announcements]")
+{
+    manual_clock clock;
+    announcement_log log;
+    const auto first = log.report(reportOf("a", 1, 5), clock.now());
+    REQUIRE(log.report(reportOf("a", 1, 6), clock.now()) == first);
+    REQUIRE(log.report(reportOf("a", 1, 4), clock.now()) == first);
+    const auto left = log.report(reportOf("a", 1, 8, upstream_state::draining), clock.now());
+    REQUIRE(left > first);
+    // Sent before it left, heard after.
+    log.report(reportOf("a", 1, 7), clock.now());
+    REQUIRE(log.changedAfter(first, clock.now()).front().state == upstream_state::draining);
+    REQUIRE(log.changedAfter(left, clock.now()).empty());
+}
+
+TEST_CASE("announcements: an upstream that falls silent is told as such, and again when it is back", "[announcements]")
+{
+    manual_clock clock;
+    announcement_log log({.silentAfter = milliseconds(4500)});
+    log.report(reportOf("a", 1, 1), clock.now());
+    clock.advance(milliseconds(4400));
+    REQUIRE_FALSE(log.expire(clock.now()));
+    clock.advance(milliseconds(200));
+    const auto before = log.position();
+    REQUIRE(log.expire(clock.now()));
+    REQUIRE(log.changedAfter(before, clock.now()).front().silent);
+    const auto silent = log.position();
+    REQUIRE(log.report(reportOf("a", 1, 2), clock.now()) > silent);
+    REQUIRE_FALSE(log.changedAfter(silent, clock.now()).front().silent);
+}
+
+TEST_CASE("announcements: a late report of a former life at an address does not bring it back", "[announcements]")
+{
+    manual_clock clock;
+    announcement_log log;
+    log.report(reportOf("old", 10, 5), clock.now());
+    const auto before = log.position();
+    log.report(reportOf("new", 20, 1), clock.now());
+    const auto changed = log.changedAfter(before, clock.now());
+    REQUIRE(changed.size() == 2);
+    const auto position = log.position();
+    log.report(reportOf("old", 10, 9), clock.now());
+    REQUIRE(log.position() == position);
+}
+
+TEST_CASE("announcements: a new life under the same name starts its count anew", "[announcements]")
+{
+    manual_clock clock;
+    announcement_log log;
+    log.report(reportOf("a", 10, 50, upstream_state::draining), clock.now());
+    const auto before = log.position();
+    log.report(reportOf("a", 11, 1), clock.now());
+    REQUIRE(log.changedAfter(before, clock.now()).front().state == upstream_state::active);
+}
+
+TEST_CASE("announcements: cold time is told once, as what is left of it", "[announcements]")
+{
+    manual_clock clock;
+    announcement_log log;
+    auto cold = reportOf("a", 1, 1);
+    cold.warmupLeft = milliseconds(3000);
+    log.report(cold, clock.now());
+    const auto position = log.position();
+    clock.advance(milliseconds(1500));
+    cold.reportedAt = 2;
+    cold.warmupLeft = milliseconds(1500);
+    log.report(cold, clock.now());
+    REQUIRE(log.position() == position);
+    REQUIRE(log.changedAfter(0, clock.now()).front().warmupLeft == milliseconds(1500));
+    // Cold again at any moment.
+    clock.advance(milliseconds(5000));
+    cold.reportedAt = 3;
+    cold.warmupLeft = milliseconds(3000);
+    log.report(cold, clock.now());
+    REQUIRE(log.position() > position);
+}
+
+TEST_CASE("directory: an upstream that moves between control hosts is silent only when all say so", "[announcements]")
+{
+    manual_clock clock;
+    upstream_directory directory;
+    directory.onReports("c1", 1, std::vector {reportOf("a", 1, 1)}, clock.now());
+    directory.onReports("c2", 1, std::vector {reportOf("a", 1, 3)}, clock.now());
+    auto silent = reportOf("a", 1, 1);
+    silent.silent = true;
+    directory.onReports("c1", 1, std::vector {silent}, clock.now());
+    REQUIRE_FALSE(only(directory.upstreams(clock.now())).report.silent);
+    silent.reportedAt = 3;
+    directory.onReports("c2", 1, std::vector {silent}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.silent);
+}
+
+TEST_CASE("directory: the newest report wins whichever control host tells it last", "[announcements]")
+{
+    manual_clock clock;
+    upstream_directory directory;
+    directory.onReports("c2", 1, std::vector {reportOf("a", 1, 9, upstream_state::draining)}, clock.now());
+    directory.onReports("c1", 1, std::vector {reportOf("a", 1, 5)}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.state == upstream_state::draining);
+}
+
+TEST_CASE("directory: the word of an unreachable control host lapses, unless none can be reached", "[announcements]")
+{
+    manual_clock clock;
+    upstream_directory directory;
+    directory.onReports("c1", 1, std::vector {reportOf("a", 1, 1)}, clock.now());
+    clock.advance(seconds(7));
+    REQUIRE_FALSE(only(directory.upstreams(clock.now())).report.silent);
+    directory.onReports("c2", 1, {}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.silent);
+}
+
+TEST_CASE("entry hosts: look-ups name serving hosts of the region, and any others only without them", "[announcements]")
+{
+    manual_clock clock;
+    entry_host_list hosts({.awayAfter = milliseconds(1500)});
+    hosts.note(hostOf("a", "north"), 0, clock.now());
+    hosts.note(hostOf("b", "south"), 0, clock.now());
+    REQUIRE(hosts.addressesFor(region_name("north"), clock.now()) == std::vector<std::string> {"a:80"});
+    hosts.note(hostOf("a", "north", false), 0, clock.now());
+    REQUIRE(hosts.addressesFor(region_name("north"), clock.now()) == std::vector<std::string> {"b:80"});
+    clock.advance(milliseconds(1600));
+    REQUIRE(hosts.addressesFor(region_name("north"), clock.now()).empty());
+}
+
+TEST_CASE("entry hosts: a change is known to all once each present host has followed it", "[announcements]")
+{
+    manual_clock clock;
+    entry_host_list hosts({.awayAfter = milliseconds(1500)});
+    REQUIRE_FALSE(hosts.allKnow(0, clock.now()));
+    hosts.note(hostOf("a", "north"), 7, clock.now());
+    hosts.note(hostOf("b", "north"), 6, clock.now());
+    REQUIRE_FALSE(hosts.allKnow(7, clock.now()));
+    hosts.note(hostOf("b", "north"), 7, clock.now());
+    REQUIRE(hosts.allKnow(7, clock.now()));
+    // A restarted host knows nothing.
+    auto restarted = hostOf("b", "north");
+    restarted.incarnation = 2;
+    hosts.note(restarted, 0, clock.now());
+    REQUIRE_FALSE(hosts.allKnow(7, clock.now()));
+    // Away, it sends nothing on either.
+    clock.advance(milliseconds(1000));
+    hosts.note(hostOf("a", "north"), 7, clock.now());
+    clock.advance(milliseconds(1000));
+    REQUIRE(hosts.allKnow(7, clock.now()));
+}
--- /dev/null
+++ b/tests/platform/platform_codec_test.cpp
@@ -0,0 +1,156 @@
+#include "control_codec.h"
+#include "header_dialect.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace hornbeampick;
+using namespace hornbeampick::platform;
+
+namespace
+{
+
+std::string configurationOf(const std::string &rows, const std::string &version = "\"r7\"")
+{
+    return R"({"version":)" + version
+        + R"(,"routes":{"columns":["name","hostname","path_prefix","route_type","timeout_ms","target_latency_ms","priority","service","max_attempts","sticky","allowed_regions","weighted_services"],"rows":[)"
+        + rows + R"(]},"services":{"columns":["name","health_path","max_connections","protocol","tls","warmup_s","warmup_per_s"],)"
+        + R"("rows":[["a","/healthz",360,"h1",false,3.0,10.0],["b","/healthz",360,"h1",false,3.0,10.0]]},)"
+        + R"("limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000},"more":{"of":"this"}})";
+}
+
+const std::string plainRow = R"(["r1","x.example","/p/","non_idempotent",1500,400,1,"a",2,true,[],null])";
+const std::string weightedRow
+    = R"(["r2","y.example","/q/","idempotent",1200,300,2,null,2,false,["north"],[{"service":"a","weight":90},{"service":"b","weight":10}]])";
+
+class map_header final : public header_view
+{
+public:
+    explicit map_header(std::map<std::string, std::string, std::less<>> fields)
+        : m_fields(std::move(fields))
+    {
+    }
+    [[nodiscard]] std::string_view value(std::string_view name) const override
+    {
+        const auto found = m_fields.find(name);
+        return found == m_fields.end() ? std::string_view() : std::string_view(found->second);
+    }
+
+private:
+    std::map<std::string, std::string, std::less<>> m_fields;
+};
+
+} // namespace
+
+TEST_CASE("platform: a configuration becomes routes, services and limits, and keeps its text", "[platform]")
+{
+    const auto body = configurationOf(plainRow + "," + weightedRow);
+    const auto table = readRouting(body);
+    REQUIRE(table);
+    const auto &read = table.value();
+    REQUIRE(read.version == 7);
+    REQUIRE(read.document == body);
+    REQUIRE(read.routes.size() == 2);
+    REQUIRE(read.routes[0].runOnce);
+    REQUIRE(read.routes[0].sticky);
+    REQUIRE(read.routes[0].rank == 1);
+    REQUIRE(read.routes[0].attempts == 2);
+    REQUIRE(read.routes[0].timeout == milliseconds(1500));
+    REQUIRE(read.routes[0].services == std::vector<service_weight> {{service_name("a"), 1}});
+    REQUIRE_FALSE(read.routes[1].runOnce);
+    REQUIRE(read.routes[1].allowedRegions == std::vector {region_name("north")});
+    REQUIRE(read.routes[1].services == std::vector<service_weight> {{service_name("a"), 90}, {service_name("b"), 10}});
+    REQUIRE(read.services[0].warmup == milliseconds(3000));
+    REQUIRE(read.services[0].warmupPerSecond == 10);
+    REQUIRE(read.limits.idleTime == milliseconds(15000));
+    REQUIRE(checkRouting(read));
+}
+
+TEST_CASE("platform: what cannot be read in full is refused, wherever it is cut", "[platform]")
+{
+    const auto body = configurationOf(plainRow + "," + weightedRow);
+    for (std::size_t length = 0; length < body.size(); length += 7) {
+        CAPTURE(length);
+        REQUIRE(readRouting(std::string_view(body).substr(0, length)).error() == errc::routingInvalid);
+    }
+}
+
+TEST_CASE("platform: wrong values are refused with a typed error", "[platform]")
+{
+    const auto bad = GENERATE(as<std::string> {}, R"(["r1","x.example","/p/","sometimes",1500,400,1,"a",2,true,[],null])",
+                              R"(["r1","x.example","/p/",null,1500,400,1,"a",2,true,[],null])", R"(["r1",7,"/p/","idempotent",1500,400,1,"a",2,true,[],null])",
+                              R"(["r1","x.example","/p/","idempotent","long",400,1,"a",2,true,[],null])",
+                              R"(["r1","x.example","/p/","idempotent",1500,400,1,"a",-2,true,[],null])",
+                              R"(["r1","x.example","/p/","idempotent",1500,400,1,"a",2,"yes",[],null])",
+                              R"(["r1","x.example","/p/","idempotent",1500,400,1,null,2,true,[],[{"service":"a"}]])", R"("r1")");
+    CAPTURE(bad);
+    REQUIRE(readRouting(configurationOf(bad)).error() == errc::routingInvalid);
+}
+
+TEST_CASE("platform: versions are r and a number", "[platform]")
+{
+    REQUIRE(readRouting(configurationOf(plainRow, "\"r120\"")).value().version == 120);
+    for (const auto *version : {"7", "\"7\"", "\"r\"", "\"r-1\"", "\"r7x\"", "\"r0\"", "null"}) {
+        CAPTURE(version);
+        REQUIRE(readRouting(configurationOf(plainRow, version)).error() == errc::routingInvalid);
+    }
+}
+
+TEST_CASE("platform: a heartbeat becomes an announcement; another writer's is refused", "[platform]")
+{
+    const std::string good
+        = R"({"service":"s","address":"10.1.0.9:80","zone":"z","version":"v1","slots":6,"state":"draining","warmup_left_ms":250,"seq":4,"born":1790000000000})";
+    const auto report = readAnnouncement("i-1", good, false);
+    REQUIRE(report);
+    REQUIRE(report.value().state == upstream_state::draining);
+    REQUIRE(report.value().reportedAt == 4);
+    REQUIRE(report.value().incarnation == 1790000000000U);
+    REQUIRE(report.value().warmupLeft == milliseconds(250));
+    REQUIRE(report.value().domain == domain_name("z"));
+    REQUIRE(readAnnouncement("i-1", good, true).value().state == upstream_state::gone);
+    for (const auto *bad :
+         {R"({"service":"s","zone":"z","slots":6,"state":"ready","seq":4})", R"({"service":7,"address":"a","zone":"z","slots":6,"state":"ready","seq":4})",
+          R"({"service":"s","address":"a","zone":"z","slots":"x","state":"ready","seq":4})",
+          R"({"service":"s","address":"a","zone":"z","slots":6,"state":"lost","seq":4})",
+          R"({"service":"s","address":"a","zone":"z","slots":6,"state":"ready","seq":"4"})", "\x80\x04", "", "[]"}) {
+        CAPTURE(bad);
+        REQUIRE(readAnnouncement("i-1", bad, false).error() == errc::malformedAnnouncement);
+    }
+}
+
+TEST_CASE("platform: header fields are read once, and written for the upstream", "[platform]")
+{
+    const header_dialect dialect;
+    const auto call = dialect.readCall(map_header({{"Request-Id", "9c41"}, {"Deadline-Ms", "2500"}, {"Affinity-Key", "17"}}));
+    REQUIRE(call.id == "9c41");
+    REQUIRE(call.timeLimit == milliseconds(2500));
+    REQUIRE(call.object == "17");
+    REQUIRE_FALSE(dialect.readCall(map_header(std::map<std::string, std::string, std::less<>> {{"Deadline-Ms", "soon"}})).timeLimit);
+    const auto answer = dialect.readAnswer(
+        map_header({{"Request-Id", "9c41"}, {"Server-Stamp", "x"}, {"Instance-Load", "3,1,8"}, {"Not-Executed", "full"}, {"Warmup-Ms", "800"}}));
+    REQUIRE(answer.notRun);
+    REQUIRE(answer.isMarked);
+    REQUIRE(answer.load->waiting == 1);
+    REQUIRE(answer.coldFor == milliseconds(800));
+    std::string header;
+    dialect.writeNote({.instance = instance_name("i-7"), .timeLeft = milliseconds(900)}, header);
+    REQUIRE(header == "Deadline-Ms: 900\r\nExpect-Instance: i-7\r\n");
+    REQUIRE(dialect.replaces("deadline-ms"));
+    REQUIRE_FALSE(dialect.replaces("Request-Id"));
+    for (const auto *bad : {"", "1,2", "1,2,3,4", "a,b,c", "1,,3", "-1,2,3"}) {
+        CAPTURE(bad);
+        REQUIRE_FALSE(parseLoad(bad));
+    }
+}
+
+TEST_CASE("platform: a look-up's answer names at most 64 addresses", "[platform]")
+{
+    entry_choice choice {.addresses = std::vector<std::string>(100, "10.0.0.1:80"), .lifetime = milliseconds(2000)};
+    const auto text = writeEntryChoice(choice);
+    REQUIRE(text.find("\"ttl_s\":2}") != std::string::npos);
+    std::size_t named = 0;
+    for (auto at = text.find("10.0.0.1:80"); at != std::string::npos; at = text.find("10.0.0.1:80", at + 1)) {
+        ++named;
+    }
+    REQUIRE(named == 64);
+}
--- /dev/null
+++ b/tests/steering/dispatcher_load_test.cpp
@@ -0,0 +1,87 @@
+// The worst moments of the users' days, replayed against the dispatcher alone.
+
+#include "fakes/load_replay.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hornbeampick;
+using namespace hornbeampick::testing;
+
+namespace
+{
+
+// Slot look-ups of the Tasmanian sites at their highest: three regions with the same callers, one with a ninth of the slots.
+replay_load bookingPeak()
+{
+    return {
+        .service = {.upstreams = {2, 8, 8}},
+        .regions = {{.name = "hobart", .perSecond = 125}, {.name = "launceston", .perSecond = 125}, {.name = "burnie", .perSecond = 125}},
+    };
+}
+
+} // namespace
+
+// Warm, the service has twice the slots that this load needs; cold, three quarters of what it needs are missing.
+TEST_CASE("load: objects stay warm at the highest load, so that nearly all are served and most in time", "[load]")
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+        auto load = bookingPeak();
+        load.seed = seed;
+        load.from = milliseconds(8000);
+        const auto result = replay(load);
+        CAPTURE(seed, result.asked, result.inTime, result.late, result.refused, result.warm, result.run);
+        REQUIRE(result.partRefused() < 0.02);
+        REQUIRE(result.partInTime() > 0.8);
+    }
+}
+
+// All objects are cold and all callers come at once. The floor of the gate is 0.33 of the worth for the whole day.
+TEST_CASE("load: a start with nothing warm recovers within seconds", "[load]")
+{
+    auto load = bookingPeak();
+    load.duration = milliseconds(12000);
+    load.from = milliseconds(6000);
+    const auto result = replay(load);
+    CAPTURE(result.asked, result.inTime, result.late, result.refused, result.warm, result.run);
+    REQUIRE(result.partInTime() > 0.66);
+}
+
+TEST_CASE("load: a region with few slots gives objects away within the bound on shifts", "[load]")
+{
+    for (const std::uint64_t seed : {4U, 5U, 6U}) {
+        auto load = bookingPeak();
+        load.seed = seed;
+        const auto result = replay(load);
+        CAPTURE(seed, result.largestShift);
+        // 0.15 is the users' bound, over all services of a region together; this is one of four.
+        REQUIRE(result.largestShift < 0.15);
+    }
+}
+
+TEST_CASE("load: beyond all slots requests are refused at once, and what is taken is served", "[load]")
+{
+    auto load = bookingPeak();
+    for (auto &region : load.regions) {
+        region.perSecond = 400;
+    }
+    load.from = milliseconds(8000);
+    const auto result = replay(load);
+    CAPTURE(result.asked, result.inTime, result.late, result.refused, result.warm, result.run);
+    // Demand is 1.6 times the warm slots: no more than that share can be served, and most of it is.
+    REQUIRE(result.partRefused() > 0.2);
+    REQUIRE(result.inTime + result.late > result.asked / 2);
+}
+
+TEST_CASE("load: more urgent requests wait longer before they are refused", "[load]")
+{
+    auto load = bookingPeak();
+    for (auto &region : load.regions) {
+        region.perSecond = 300;
+    }
+    load.rank = 2;
+    const auto last = replay(load);
+    load.rank = 0;
+    const auto first = replay(load);
+    CAPTURE(first.refused, last.refused);
+    REQUIRE(first.refused < last.refused);
+}
--- /dev/null
+++ b/tests/steering/spill_share_test.cpp
@@ -0,0 +1,94 @@
+#include "fakes/manual_clock.h"
+#include "steering/spill_share.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hornbeampick;
+using namespace hornbeampick::testing;
+
+namespace
+{
+
+// `perSecond` arrivals for `span`, each with the same picture of the load.
+void arrive(spill_share &share, manual_clock &clock, const spill_sample &sample, int perSecond, milliseconds span)
+{
+    const auto end = clock.now() + span;
+    while (clock.now() < end) {
+        share.observe(sample, clock.now());
+        clock.advance(microseconds(1'000'000 / perSecond));
+    }
+}
+
+} // namespace
+
+TEST_CASE("spill: the first moments set the share by the demand", "[spill]")
+{
+    manual_clock clock;
+    spill_share share;
+    // 100 requests/s of 180 ms want 18 slots; 0.8 of 9 are given to them.
+    arrive(share, clock, {.homeLoad = 9, .homeSlots = 9, .othersLoad = 0, .othersSlots = 50, .hosts = 2, .workMs = 180}, 50, milliseconds(590));
+    REQUIRE(share.share() == Approx(0.6).margin(0.1));
+}
+
+TEST_CASE("spill: with room at home nothing leaves", "[spill]")
+{
+    manual_clock clock;
+    spill_share share;
+    arrive(share, clock, {.homeLoad = 2, .homeSlots = 30, .othersLoad = 0, .othersSlots = 50, .hosts = 2, .workMs = 180}, 50, seconds(5));
+    REQUIRE(share.share() == 0);
+}
+
+TEST_CASE("spill: afterwards the share moves by less than the bound in any two seconds", "[spill]")
+{
+    manual_clock clock;
+    spill_share share;
+    arrive(share, clock, {.homeLoad = 1, .homeSlots = 9, .othersLoad = 0, .othersSlots = 50, .hosts = 1, .workMs = 1}, 200, seconds(1));
+    const double before = share.share();
+    const spill_sample crowd {.homeLoad = 20, .homeSlots = 9, .othersLoad = 10, .othersSlots = 50, .hosts = 2, .workMs = 180};
+    arrive(share, clock, crowd, 200, seconds(2));
+    REQUIRE(share.share() > before);
+    REQUIRE(share.share() - before < 0.15);
+    arrive(share, clock, crowd, 200, seconds(8));
+    const double given = share.share();
+    REQUIRE(given > 0.3);
+    arrive(share, clock, {.homeLoad = 1, .homeSlots = 9, .othersLoad = 10, .othersSlots = 50, .hosts = 2, .workMs = 180}, 200, seconds(2));
+    REQUIRE(share.share() < given);
+    REQUIRE(given - share.share() < 0.15);
+}
+
+TEST_CASE("spill: nothing more goes to regions that are full", "[spill]")
+{
+    manual_clock clock;
+    spill_share share;
+    arrive(share, clock, {.homeLoad = 1, .homeSlots = 9, .othersLoad = 0, .othersSlots = 50, .hosts = 1, .workMs = 1}, 200, seconds(1));
+    const spill_sample full {.homeLoad = 20, .homeSlots = 9, .othersLoad = 48, .othersSlots = 50, .hosts = 2, .workMs = 180};
+    // The step in which the picture changes still averages both.
+    arrive(share, clock, full, 200, milliseconds(500));
+    const double before = share.share();
+    arrive(share, clock, full, 200, seconds(5));
+    REQUIRE(share.share() <= before);
+    REQUIRE(before <= 0.01);
+}
+
+TEST_CASE("spill: a larger share moves the same objects and more", "[spill]")
+{
+    spill_options options;
+    options.step = 0.1;
+    manual_clock clock;
+    spill_share share(options);
+    arrive(share, clock, {.homeLoad = 1, .homeSlots = 9, .othersLoad = 0, .othersSlots = 50, .hosts = 1, .workMs = 1}, 200, seconds(1));
+    std::vector<std::uint64_t> moved;
+    for (int step = 0; step < 4; ++step) {
+        arrive(share, clock, {.homeLoad = 20, .homeSlots = 9, .othersLoad = 0, .othersSlots = 50, .hosts = 2, .workMs = 180}, 200, milliseconds(260));
+        for (const auto object : moved) {
+            REQUIRE(share.spills(object));
+        }
+        for (std::uint64_t object = 0; object < 200; ++object) {
+            const auto hash = object * 0x9E3779B97F4A7C15ULL;
+            if (share.spills(hash)) {
+                moved.push_back(hash);
+            }
+        }
+    }
+    REQUIRE_FALSE(moved.empty());
+}
