replica, spill_share: back sooner after a loss of power

Ruled out: announcements (all upstreams were known 0.4 s before the routes); connections to control hosts (0.5 s). Change: frames of the log tell what was committed when they came; the first election after a start waits 150 to 450 ms (pre-votes keep it from disturbing a leader); the first share is no larger than an even load over the regions gives.

--- a/include/steering/spill_share.h
+++ b/include/steering/spill_share.h
@@ -30,6 +30,8 @@
     double homeSlots = 0;
     double othersLoad = 0;
     double othersSlots = 0;
+    // Regions that have any, the home region included.
+    std::uint32_t regions = 1;
     // Entry hosts among which the region's requests are spread.
     std::uint32_t hosts = 1;
     // Usual work of a request, in milliseconds.
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -31,7 +31,7 @@
 // Attempts that sent nothing, since no connection came about.
 constexpr std::uint32_t unreachableMost = 3;
 // Retry-After when no routes are known yet: about the time a host needs to learn them.
-constexpr milliseconds notReadyRetry {300};
+constexpr milliseconds notReadyRetry {500};
 // Below this a request is not sent again: no upstream answers so fast.
 constexpr milliseconds leastWorthSending {20};
 
--- a/src/replica/replica_core.cpp
+++ b/src/replica/replica_core.cpp
@@ -30,7 +30,9 @@
     restoreConfig();
     commitTo(std::min(image.commit, lastIndex()));
     m_role = m_config.isVoter(m_options.self.disk) ? replica_role::follower : replica_role::learner;
-    resetElectionDeadline(now);
+    // A leader that lives keeps the pre-votes of others down; without one, the log waits for nothing else.
+    const auto quarter = m_options.electionTimeout / 4;
+    m_electionDeadline = now + quarter + milliseconds(m_random.below(static_cast<std::uint64_t>(2 * quarter.count()) + 1));
     validate();
 }
 
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -240,7 +240,12 @@
     double homeSlots = 0;
     double farLoad = 0;
     double farSlots = 0;
+    std::vector<const region_name *> regions;
     for (const auto &each : candidates) {
+        const auto known = std::ranges::find_if(regions, [&](const region_name *region) { return *region == each.where->region; });
+        if (known == regions.end()) {
+            regions.push_back(&each.where->region);
+        }
         (each.home ? homeLoad : farLoad) += each.load;
         (each.home ? homeSlots : farSlots) += each.slots;
     }
@@ -250,6 +255,7 @@
             .homeSlots = homeSlots,
             .othersLoad = farLoad,
             .othersSlots = farSlots,
+            .regions = static_cast<std::uint32_t>(regions.size()),
             .hosts = m_hostsInRegion,
             .workMs = board.workMs > 0 ? board.workMs : workGuess * static_cast<double>(request.targetLatency.count()),
         },
--- a/src/steering/spill_share.cpp
+++ b/src/steering/spill_share.cpp
@@ -48,9 +48,13 @@
 {
     const double elapsedMs = std::chrono::duration<double, std::milli>(now - m_startedAt).count();
     const double demand = static_cast<double>(m_arrivals) / elapsedMs * sample.hosts * sample.workMs;
-    if (demand > 0 && sample.othersSlots > 0) {
-        m_share = std::clamp(1 - m_options.giveAbove * sample.homeSlots / demand, 0.0, m_options.most);
+    if (demand <= 0 || sample.othersSlots <= 0) {
+        return;
     }
+    // What the others ask for is not known yet: as much, each of them. A burst at the start then floods nobody.
+    const double even = 1 - sample.regions * sample.homeSlots / (sample.homeSlots + sample.othersSlots);
+    const double wanted = 1 - m_options.giveAbove * sample.homeSlots / demand;
+    m_share = std::clamp(std::min(wanted, even), 0.0, m_options.most);
 }
 
 bool spill_share::spills(std::uint64_t objectHash) const
--- a/src/storage/replica_file_store.cpp
+++ b/src/storage/replica_file_store.cpp
@@ -27,9 +27,11 @@
 }
 
 // A frame of the log: entries, each behind its length.
-std::string encodeEntries(std::span<const log_entry> entries)
+// Entries, and what was committed when they came.
+std::string encodeEntries(std::span<const log_entry> entries, log_index commit)
 {
     schema::replica_message batch;
+    batch.set_commit_index(commit);
     for (const auto &entry : entries) {
         *batch.add_entries() = encode(entry);
     }
@@ -56,7 +58,8 @@
         if (auto done = loadLog(image); !done) {
             return done.error();
         }
-        image.commit = loadCommit();
+        // The note of its own may be lost with the power; the log still tells what was committed when its last entries came.
+        image.commit = std::max(image.commit, loadCommit());
         if (image.commit > image.snapshot.index + image.entries.size()) {
             // Noted only after it was synced: the end of the log was damaged, not torn.
             return errc::corruptRecord;
@@ -95,7 +98,7 @@
     status append(std::span<const log_entry> entries) override
     {
         const bool isNew = !m_files.exists(logFile);
-        if (auto done = m_files.append(logFile, frameRecord(encodeEntries(entries))); !done) {
+        if (auto done = m_files.append(logFile, frameRecord(encodeEntries(entries, m_commit))); !done) {
             return done;
         }
         if (auto done = m_files.sync(logFile); !done) {
@@ -106,6 +109,7 @@
 
     void noteCommit(log_index commit) override
     {
+        m_commit = commit;
         schema::replica_message record;
         record.set_commit_index(commit);
         // Only a hint: when it cannot be written, the next leader tells.
@@ -118,7 +122,7 @@
         if (auto done = replaceFile(m_files, snapshotFile, frameRecord(encode(snapshot).SerializeAsString())); !done) {
             return done;
         }
-        return replaceFile(m_files, logFile, kept.empty() ? std::string {} : frameRecord(encodeEntries(kept)));
+        return replaceFile(m_files, logFile, kept.empty() ? std::string {} : frameRecord(encodeEntries(kept, m_commit)));
     }
 
 private:
@@ -204,6 +208,7 @@
             if (!batch.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
                 return errc::corruptRecord;
             }
+            image.commit = std::max<log_index>(image.commit, batch.commit_index());
             for (const auto &entry : batch.entries()) {
                 if (auto done = place(image, decode(entry)); !done) {
                     return done;
@@ -242,6 +247,7 @@
     }
 
     file_system &m_files;
+    log_index m_commit = 0;
 };
 
 } // namespace
--- a/tests/steering/spill_share_test.cpp
+++ b/tests/steering/spill_share_test.cpp
@@ -26,10 +26,18 @@
     manual_clock clock;
     spill_share share;
     // 100 requests/s of 180 ms want 18 slots; 0.8 of 9 are given to them.
-    arrive(share, clock, {.homeLoad = 9, .homeSlots = 9, .othersLoad = 0, .othersSlots = 50, .hosts = 2, .workMs = 180}, 50, milliseconds(590));
+    arrive(share, clock, {.homeLoad = 9, .homeSlots = 9, .othersLoad = 0, .othersSlots = 50, .regions = 2, .hosts = 2, .workMs = 180}, 50, milliseconds(590));
     REQUIRE(share.share() == Approx(0.6).margin(0.1));
 }
 
+TEST_CASE("spill: a burst in the first moments floods no region that may be as busy", "[spill]")
+{
+    manual_clock clock;
+    spill_share share;
+    arrive(share, clock, {.homeLoad = 90, .homeSlots = 36, .othersLoad = 0, .othersSlots = 72, .regions = 3, .hosts = 2, .workMs = 180}, 2000, milliseconds(590));
+    REQUIRE(share.share() == 0);
+}
+
 TEST_CASE("spill: with room at home nothing leaves", "[spill]")
 {
     manual_clock clock;
