--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -57,6 +58,12 @@
 struct dispatch_refusal {
     errc error = errc::overloaded;
     milliseconds retryAfter {0};
+    // What decided: requests and slots at the upstreams that could have taken it, the shortest wait, and the longest that
+    // would still have been in time.
+    double load = 0;
+    double slots = 0;
+    milliseconds wait {0};
+    milliseconds allowedWait {0};
 };
 
 using dispatch_verdict = std::variant<dispatch_grant, dispatch_refusal>;
@@ -87,6 +94,8 @@
     abandoned,
 };
 
+std::string_view textOf(dispatch_end end);
+
 struct dispatcher_options {
     // Where this host stands.
     region_name region;
@@ -114,7 +123,8 @@
     void setHostsInRegion(std::uint32_t hosts);
 
     dispatch_verdict take(const dispatch_request &request);
-    void finish(const dispatch_grant &grant, dispatch_end end, const std::optional<load_report> &load);
+    /// Returns for how long the upstream is set aside when this end decided that.
+    std::optional<milliseconds> finish(const dispatch_grant &grant, dispatch_end end, const std::optional<load_report> &load);
 
     /// An upstream said how long it stays cold.
     void noteCold(const service_name &service, const instance_name &instance, milliseconds left);
@@ -170,7 +180,7 @@
     [[nodiscard]] static double allowedWaitMs(const dispatch_request &request, double workMs);
     [[nodiscard]] bool mayTakeCold(const service_board &board, lane &cold, steady_time now) const;
     dispatch_refusal refusal(const service_board &board) const;
-    void judge(service_board &board, lane &used, dispatch_end end, steady_time now);
+    static std::optional<milliseconds> judge(lane &used, dispatch_end end, double load, steady_time now);
     void place(const known_upstream &known, steady_time now);
 
     dispatcher_options m_options;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -242,7 +242,7 @@
             if (outcome.answer || call.mayHaveRun) {
                 break;
             }
-            co_return co_await refuse(&call, {.status = 503, .error = refused->error, .retryAfter = refused->retryAfter});
+            co_return co_await refuse(&call, {.status = 503, .error = refused->error, .retryAfter = refused->retryAfter, .decidedBy = *refused});
         }
         last = std::get<dispatch_grant>(verdict);
         if (repeats) {
@@ -253,7 +253,14 @@
         m_abandonable = call.matched->runOnce ? nullptr : &attempt;
         auto next = co_await attempt.run(call, *last);
         m_abandonable = nullptr;
-        m_parts.dispatch.finish(*last, next.end, next.load);
+        const auto setAside = m_parts.dispatch.finish(*last, next.end, next.load);
+        if (setAside) {
+            logBounded(log_level::warning, "upstream-set-aside",
+                       {{"instance", last->instance.string()}, {"service", call.service.string()}, {"forMs", static_cast<std::int64_t>(setAside->count())}});
+        }
+        if (next.end != dispatch_end::answered) {
+            noteFailure(call, *last, next);
+        }
         if (next.coldFor) {
             m_parts.dispatch.noteCold(call.service, last->instance, *next.coldFor);
         }
@@ -295,6 +302,22 @@
     return false;
 }
 
+void relay_session::noteFailure(const caller_call &call, const dispatch_grant &grant, const attempt_outcome &outcome) const
+{
+    const auto now = m_parts.clock.now();
+    logBounded(log_level::info, "attempt-failed",
+               {{"request", call.id},
+                {"service", call.service.string()},
+                {"instance", grant.instance.string()},
+                {"address", grant.address},
+                {"end", std::string(textOf(outcome.end))},
+                {"tookMs", static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(now - grant.grantedAt).count())},
+                {"afterMs", static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(now - call.arrivedAt).count())},
+                {"mayHaveRun", outcome.mayHaveRun},
+                {"running", static_cast<std::int64_t>(outcome.load ? outcome.load->running : 0)},
+                {"waiting", static_cast<std::int64_t>(outcome.load ? outcome.load->waiting : 0)}});
+}
+
 void relay_session::noteDeath(const caller_call &call, const dispatch_grant &grant)
 {
     const upstream_death death {.request = call.content, .instance = grant.instance, .incarnation = grant.incarnation};
@@ -407,6 +430,10 @@
                     {"mayHaveRun", call->mayHaveRun},
                     {"tried", call->tried.empty() ? std::string() : call->tried.back().string()},
                     {"retryAfterMs", static_cast<std::int64_t>(answer.retryAfter.count())},
+                    {"load", answer.decidedBy ? answer.decidedBy->load : 0.0},
+                    {"slots", answer.decidedBy ? answer.decidedBy->slots : 0.0},
+                    {"waitMs", static_cast<std::int64_t>(answer.decidedBy ? answer.decidedBy->wait.count() : 0)},
+                    {"allowedWaitMs", static_cast<std::int64_t>(answer.decidedBy ? answer.decidedBy->allowedWait.count() : 0)},
                     {"routesVersion", static_cast<std::int64_t>(call->routes ? call->routes->table().version : 0)}});
     }
     const bool isHead = call != nullptr && call->parser.get().method() == http::verb::head;
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hornbeampick
@@ -29,6 +30,8 @@
     errc error = errc::overloaded;
     // Given with answers that say the request has not run.
     milliseconds retryAfter {0};
+    // What the choice of an upstream saw; empty when none was tried.
+    std::optional<dispatch_refusal> decidedBy;
 };
 
 /// One connection of a caller, one request after the other. Single-threaded.
@@ -48,6 +51,7 @@
     [[nodiscard]] own_answer prepare(caller_call &call) const;
     [[nodiscard]] dispatch_verdict choose(const caller_call &call, steady_time now);
     [[nodiscard]] bool mayTryAgain(const caller_call &call, const attempt_outcome &outcome);
+    void noteFailure(const caller_call &call, const dispatch_grant &grant, const attempt_outcome &outcome) const;
     void noteDeath(const caller_call &call, const dispatch_grant &grant);
 
     boost::asio::awaitable<bool> deliver(caller_call &call, attempt_outcome &outcome, const dispatch_grant &grant, upstream_attempt &attempt);
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -61,6 +61,12 @@
 
 } // namespace
 
+std::string_view textOf(dispatch_end end)
+{
+    constexpr std::array names {"answered", "failed", "shed", "misdirected", "unreachable", "broke", "timed-out", "abandoned"};
+    return names.at(static_cast<std::size_t>(end));
+}
+
 // A lane that may take the request, and what speaks for it.
 struct dispatcher::candidate {
     lane *where = nullptr;
@@ -275,7 +281,9 @@
 
     const double work = board.workMs > 0 ? board.workMs : defaultWorkMs;
     const candidate *chosen = chooseKept(candidates, spills, work);
-    if (chosen == nullptr || chosen->waitMs(work) > allowedWaitMs(request, work)) {
+    const double allowed = allowedWaitMs(request, work);
+    const double wait = chosen != nullptr ? chosen->waitMs(work) : 0;
+    if (chosen == nullptr || wait > allowed) {
         chosen = chooseSpare(candidates, spills, board.overflowTokens >= 1);
         if (chosen != nullptr && chosen->home == spills) {
             board.overflowTokens -= 1;
@@ -286,6 +294,10 @@
         if (candidates.empty()) {
             refused.error = errc::noUpstream;
         }
+        refused.load = homeLoad + farLoad;
+        refused.slots = homeSlots + farSlots;
+        refused.wait = milliseconds(static_cast<std::int64_t>(wait));
+        refused.allowedWait = milliseconds(static_cast<std::int64_t>(allowed));
         return refused;
     }
     const bool slotFree = chosen->hasRoom();
@@ -370,14 +382,14 @@
     return {.error = errc::overloaded, .retryAfter = milliseconds(static_cast<std::int64_t>(after))};
 }
 
-void dispatcher::finish(const dispatch_grant &grant, dispatch_end end, const std::optional<load_report> &load)
+std::optional<milliseconds> dispatcher::finish(const dispatch_grant &grant, dispatch_end end, const std::optional<load_report> &load)
 {
     const auto now = m_clock.now();
-    m_boards.with(stableHash(grant.service.view()), [&](boards &all) {
+    return m_boards.with(stableHash(grant.service.view()), [&](boards &all) -> std::optional<milliseconds> {
         auto &board = all[grant.service];
         const auto found = board.lanes.find(grant.instance);
         if (found == board.lanes.end() || found->second.report.incarnation != grant.incarnation) {
-            return;
+            return std::nullopt;
         }
         auto &used = found->second;
         used.inFlight -= std::min(used.inFlight, 1U);
@@ -391,25 +403,25 @@
             used.workMs = smooth(used.workMs, took);
             board.workMs = smooth(board.workMs, took);
         }
-        judge(board, used, end, now);
+        return judge(used, end, estimate(used, now), now);
     });
 }
 
-void dispatcher::judge(service_board &, lane &used, dispatch_end end, steady_time now)
+std::optional<milliseconds> dispatcher::judge(lane &used, dispatch_end end, double load, steady_time now)
 {
     bool failed = false;
     switch (end) {
     case dispatch_end::answered:
         break;
     case dispatch_end::abandoned:
-        return;
+        return std::nullopt;
     case dispatch_end::misdirected:
         used.misdirected = true;
-        return;
+        return std::nullopt;
     case dispatch_end::shed:
         // Full, unless it has just said that slots are free.
-        if (estimate(used, now) >= used.report.slots) {
-            return;
+        if (load >= used.report.slots) {
+            return std::nullopt;
         }
         failed = true;
         break;
@@ -428,12 +440,15 @@
         if (used.failing < failingLimit) {
             used.ejections = 0;
         }
-        return;
+        return std::nullopt;
     }
     if (used.failing > failingLimit && now >= used.ejectedUntil) {
-        used.ejectedUntil = now + firstEjection * (1U << std::min(used.ejections, mostDoublings));
+        const milliseconds span = firstEjection * (1U << std::min(used.ejections, mostDoublings));
+        used.ejectedUntil = now + span;
         ++used.ejections;
+        return span;
     }
+    return std::nullopt;
 }
 
 void dispatcher::noteCold(const service_name &service, const instance_name &instance, milliseconds left)
