settings: bounds may be fractions

Cause: on a deployment whose bounds are fractions (the grown sites) no process started: a whole number was expected.

--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -99,8 +99,6 @@
 struct dispatcher_options {
     // Where this host stands.
     region_name region;
-    // Added to the bound of a cold upstream by its operators, in requests a second; a part of it is left unused.
-    std::uint32_t warmupSlack = 5;
 };
 
 /// Chooses the upstream of each request and turns away what cannot be served in time.
--- a/src/node/control_watch.h
+++ b/src/node/control_watch.h
@@ -34,7 +34,7 @@
     // Peer addresses of control hosts asked first.
     std::vector<std::string> seeds;
     // Retries that all entry hosts together may save up.
-    std::uint32_t retrySlack = 20;
+    double retrySlack = 20;
 };
 
 /// Follows all control hosts at once: routes and evacuations by the log's index, which only rises; announcements of
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -34,7 +34,6 @@
 constexpr milliseconds quarantine {120000};
 // Part of the operators' ratio of retries that is used: hosts count requests at slightly different times.
 constexpr double retryPart = 0.8;
-constexpr double percent = 100;
 
 class entry_node final : public node, public readiness_source, public death_listener
 {
@@ -45,8 +44,8 @@
         , m_fleet(topologyOf(*m_settings))
         , m_random(operatingSystemSeed())
         , m_peers(makeGrpcControlClient(nodeTls(), &m_counters))
-        , m_dispatch({.region = region_name(m_settings->region()), .warmupSlack = m_settings->deployment().warmup_slack()}, m_fleet, m_clock, m_random)
-        , m_retries({.earned = retryPart * m_settings->deployment().retry_percent() / percent, .initial = 2, .most = 4})
+        , m_dispatch({.region = region_name(m_settings->region())}, m_fleet, m_clock, m_random)
+        , m_retries({.earned = retryPart * m_settings->deployment().retry_ratio(), .initial = 2, .most = 4})
         , m_poison({.deathsToQuarantine = deathsToQuarantine, .quarantine = quarantine})
         , m_watch({*m_peers, m_dispatch, m_routes, m_retries, m_poison, m_clock}, watchOptions(), m_context)
         , m_readinessHandler(frontEnds.readiness(*this))
@@ -141,7 +140,8 @@
         m_watch.setServing(false);
         m_relay->beginDrain();
         const auto &deployment = m_settings->deployment();
-        const auto latest = startedAt + milliseconds(deployment.grace_ms()) - graceReserve;
+        const auto grace = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(deployment.grace_s()));
+        const auto latest = startedAt + std::max(grace - graceReserve, milliseconds(0));
         const auto earliest = std::min(startedAt + lifetimesStayed * milliseconds(deployment.lookup_ttl_ms()), latest);
         asio::steady_timer timer(co_await asio::this_coro::executor);
         while (m_clock.now() < latest && (m_clock.now() < earliest || m_relay->activeRequests() > 0)) {
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -118,6 +118,9 @@
         case pb::FieldDescriptor::CPPTYPE_BOOL:
             readBool(node, message, field, path);
             break;
+        case pb::FieldDescriptor::CPPTYPE_DOUBLE:
+            readFraction(node, message, field, path);
+            break;
         default:
             readNumber(node, message, field, path);
             break;
@@ -148,6 +151,19 @@
         message.GetReflection()->SetBool(&message, &field, text == "true");
     }
 
+    void readFraction(const YAML::Node &node, pb::Message &message, const pb::FieldDescriptor &field, const std::string &path)
+    {
+        double value = 0;
+        const bool isNumber = YAML::convert<double>::decode(node, value);
+        const auto &check = checkOf(field);
+        const auto maximum = static_cast<double>(check.maximum());
+        if (!isNumber || !(value >= static_cast<double>(check.minimum())) || (check.maximum() != 0 && value > maximum)) {
+            report(node, path, "a number from " + std::to_string(check.minimum()) + " to " + std::to_string(check.maximum()));
+            return;
+        }
+        message.GetReflection()->SetDouble(&message, &field, value);
+    }
+
     void readNumber(const YAML::Node &node, pb::Message &message, const pb::FieldDescriptor &field, const std::string &path)
     {
         std::int64_t value = 0;
@@ -173,6 +189,8 @@
                 report(node, join(path, field->json_name()), "a value; the key is missing");
             } else if (field->cpp_type() == pb::FieldDescriptor::CPPTYPE_UINT32) {
                 message.GetReflection()->SetUInt32(&message, field, static_cast<std::uint32_t>(checkOf(*field).preset()));
+            } else if (field->cpp_type() == pb::FieldDescriptor::CPPTYPE_DOUBLE) {
+                message.GetReflection()->SetDouble(&message, field, static_cast<double>(checkOf(*field).preset()));
             } else if (field->cpp_type() == pb::FieldDescriptor::CPPTYPE_MESSAGE && !field->is_repeated()) {
                 readMessage(YAML::Node(YAML::NodeType::Map), *message.GetReflection()->MutableMessage(&message, field), join(path, field->json_name()));
             }
--- /dev/null
+++ b/tests/settings/node_settings_test.cpp
@@ -0,0 +1,43 @@
+#include "settings/settings_file.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hornbeampick;
+
+namespace
+{
+
+std::string settingsWith(const std::string &more)
+{
+    return "host: a\nregion: north\nfailureDomain: n-a\nrpc: '10.0.0.1:7000'\nfailureDomains:\n  - {failureDomain: n-a, region: north}\n" + more;
+}
+
+std::string keyOfError(const std::string &more)
+{
+    const auto parsed = parseNodeSettings(settingsWith(more), "f");
+    return parsed.errors.empty() ? std::string() : parsed.errors.front().key;
+}
+
+} // namespace
+
+TEST_CASE("node settings: bounds may be fractions, and have presets", "[settings]")
+{
+    const auto parsed = parseNodeSettings(settingsWith("front: '10.0.0.1:80'\ndeployment: {graceS: 6.5, retryRatio: 0.2, retrySlack: 157.6}\n"), "f");
+    REQUIRE(parsed.errors.empty());
+    REQUIRE(parsed.settings->deployment().grace_s() == 6.5);
+    REQUIRE(parsed.settings->deployment().retry_slack() == 157.6);
+    REQUIRE(parsed.settings->deployment().heartbeat_ms() == 1500);
+    REQUIRE(topologyOf(*parsed.settings).regionOf(domain_name("n-a")) == region_name("north"));
+}
+
+TEST_CASE("node settings: what is wrong is named", "[settings]")
+{
+    REQUIRE(keyOfError("front: '10.0.0.1:80'\n").empty());
+    REQUIRE(keyOfError("") == "front");
+    REQUIRE(keyOfError("front: '10.0.0.1:80'\ncontrol: '10.0.0.1:81'\ndataFolder: d\n") == "front");
+    REQUIRE(keyOfError("control: '10.0.0.1:81'\n") == "dataFolder");
+    REQUIRE(keyOfError("front: 'here'\n") == "front");
+    REQUIRE(keyOfError("front: '10.0.0.1:80'\ndeployment: {graceS: soon}\n") == "deployment.graceS");
+    REQUIRE(keyOfError("front: '10.0.0.1:80'\ndeployment: {retryRatio: 1.5}\n") == "deployment.retryRatio");
+    REQUIRE(keyOfError("front: '10.0.0.1:80'\nmore: 1\n") == "more");
+}
