control node: one set for all signals; leaving upstreams without a leader; seeds read again

Ruled out: the desk (mended before, the process never said stopping), the log's thread, a blocked signal (caught and not pending by /proc). Upstreams that leave while the log has no leader get their yes when all remembered entry hosts know; entry hosts take in changed seeds on SIGHUP and every 5 s.

--- a/include/fleet/entry_host_list.h
+++ b/include/fleet/entry_host_list.h
@@ -19,6 +19,14 @@
     milliseconds forgottenAfter {15000};
 };
 
+/// Which entry hosts must know a change before it counts as known.
+enum class required_hosts {
+    // Those that have asked lately.
+    present,
+    // Those as well that are away and not forgotten: they may be cut off from this control host only.
+    remembered,
+};
+
 /// The entry hosts that watch one control host, and how far each has followed its announcements. Thread-safe.
 class entry_host_list
 {
@@ -30,8 +38,8 @@
 
     /// Addresses for a caller in `region`: serving hosts there; when there are none, all serving hosts.
     [[nodiscard]] std::vector<std::string> addressesFor(const region_name &region, steady_time now) const;
-    /// True when every host that is not away knows the announcements up to `position`, and there is one.
-    [[nodiscard]] bool allKnow(std::uint64_t position, steady_time now) const;
+    /// True when every required host knows the announcements up to `position`, and there is one.
+    [[nodiscard]] bool allKnow(std::uint64_t position, required_hosts required, steady_time now) const;
     /// Hosts not forgotten yet.
     [[nodiscard]] std::uint32_t count() const;
     [[nodiscard]] std::uint32_t countIn(const region_name &region) const;
--- a/include/node/node.h
+++ b/include/node/node.h
@@ -37,8 +37,12 @@
     virtual void run() = 0;
 };
 
-/// Opens the ports. `settings` name a front address. Errors: ioFailed.
-result<std::unique_ptr<node>> makeEntryNode(std::shared_ptr<const schema::node_settings> settings, const node_front_ends &frontEnds);
+/// Reads the settings again; null when they cannot be read, which the reader has then logged.
+using settings_reload = std::function<std::shared_ptr<const schema::node_settings>()>;
+
+/// Opens the ports. `settings` name a front address; `reload` is called on SIGHUP and every few seconds, and what may change
+/// while the host runs (seeds) is taken in. Errors: ioFailed.
+result<std::unique_ptr<node>> makeEntryNode(std::shared_ptr<const schema::node_settings> settings, const node_front_ends &frontEnds, settings_reload reload);
 
 /// Opens the ports and the data folder. `settings` name a control address. Errors: ioFailed.
 result<std::unique_ptr<node>> makeControlNode(std::shared_ptr<const schema::node_settings> settings, const node_front_ends &frontEnds);
--- a/src/fleet/entry_host_list.cpp
+++ b/src/fleet/entry_host_list.cpp
@@ -39,12 +39,15 @@
     return near.empty() ? all : near;
 }
 
-bool entry_host_list::allKnow(std::uint64_t position, steady_time now) const
+bool entry_host_list::allKnow(std::uint64_t position, required_hosts required, steady_time now) const
 {
     const std::lock_guard guard(m_lock);
     std::size_t present = 0;
     for (const auto &[name, known] : m_records) {
         if (now >= known.askedAt + m_options.awayAfter) {
+            if (required == required_hosts::remembered) {
+                return false;
+            }
             continue;
         }
         ++present;
--- a/src/hornbeampickd.cpp
+++ b/src/hornbeampickd.cpp
@@ -56,7 +56,14 @@
     }
     startLog(parsed.settings->host(), {});
     const auto frontEnds = platform::makeFrontEnds(*parsed.settings);
-    auto made = parsed.settings->front().empty() ? makeControlNode(parsed.settings, frontEnds) : makeEntryNode(parsed.settings, frontEnds);
+    const auto reload = [path]() {
+        const auto again = loadNodeSettings(path);
+        for (const auto &error : again.errors) {
+            logEvent(log_level::warning, "settings-ignored", {{"reason", error.text()}});
+        }
+        return again.settings;
+    };
+    auto made = parsed.settings->front().empty() ? makeControlNode(parsed.settings, frontEnds) : makeEntryNode(parsed.settings, frontEnds, reload);
     if (!made) {
         logEvent(log_level::error, "start-failed", {errorField(made.error())});
         return exitStart;
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -98,8 +98,7 @@
         logEvent(log_level::info, "started", {{"control", m_settings->control()}, {"rpc", m_settings->rpc()}, {"bootstrap", m_settings->bootstrap()}});
         m_replica->start();
         asio::co_spawn(m_context, tickDesk(), asio::detached);
-        asio::co_spawn(m_context, awaitStop(), asio::detached);
-        asio::co_spawn(m_context, awaitReload(), asio::detached);
+        asio::co_spawn(m_context, awaitSignals(), asio::detached);
         std::vector<std::thread> threads;
         for (unsigned i = 0; i < m_settings->threads(); ++i) {
             threads.emplace_back([this] { m_context.run(); });
@@ -131,10 +130,8 @@
             co_return success();
         }
         // Cut off from the log's leader, this host may be cut off from entry hosts as well.
-        if (!knowsLeader()) {
-            co_return make_error_code(errc::notConfirmed);
-        }
-        auto start = [this, position](std::function<void(bool)> done) { m_desk.confirm(position, confirmWait, std::move(done)); };
+        const auto required = knowsLeader() ? required_hosts::present : required_hosts::remembered;
+        auto start = [this, position, required](std::function<void(bool)> done) { m_desk.confirm(position, required, confirmWait, std::move(done)); };
         const bool known = co_await awaitCallback<bool>(start);
         if (!known) {
             logEvent(log_level::warning, "leaving-not-confirmed", {{"instance", instance.string()}});
@@ -296,10 +293,18 @@
         }
     }
 
-    asio::awaitable<void> awaitStop()
+    // One set for all signals: sets that are made by several threads at once can lose one.
+    asio::awaitable<void> awaitSignals()
     {
-        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
-        co_await signals.async_wait(noThrow);
+        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
+        bool stays = true;
+        while (stays) {
+            const auto [failed, number] = co_await signals.async_wait(noThrow);
+            stays = !failed && number == SIGHUP;
+            if (stays) {
+                logEvent(log_level::info, "reload");
+            }
+        }
         logEvent(log_level::info, "stopping");
         m_http->drain();
         if (m_directory) {
@@ -311,15 +316,6 @@
         m_context.stop();
     }
 
-    asio::awaitable<void> awaitReload()
-    {
-        asio::signal_set signals(co_await asio::this_coro::executor, SIGHUP);
-        while (true) {
-            co_await signals.async_wait(noThrow);
-            logEvent(log_level::info, "reload");
-        }
-    }
-
     void refreshMetrics()
     {
         const auto state = m_state.get();
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -29,6 +30,8 @@
 // Look-ups are kept for their lifetime, by some callers longer; for this many lifetimes new connections are still taken.
 constexpr int lifetimesStayed = 2;
 constexpr milliseconds poisonTick {1000};
+// Settings may change without a signal.
+constexpr milliseconds reloadEvery {5000};
 // Upstreams that die of a request before it goes to none.
 constexpr std::size_t deathsToQuarantine = 3;
 constexpr milliseconds quarantine {120000};
@@ -38,8 +41,9 @@
 class entry_node final : public node, public readiness_source, public death_listener
 {
 public:
-    entry_node(std::shared_ptr<const schema::node_settings> settings, const node_front_ends &frontEnds)
+    entry_node(std::shared_ptr<const schema::node_settings> settings, const node_front_ends &frontEnds, settings_reload reload)
         : m_settings(std::move(settings))
+        , m_reload(std::move(reload))
         , m_dialect(frontEnds.dialect)
         , m_fleet(topologyOf(*m_settings))
         , m_random(operatingSystemSeed())
@@ -107,7 +111,6 @@
 private:
     control_watch_options watchOptions()
     {
-        const auto rpcPort = endpointParts(m_settings->rpc()).port;
         control_watch_options options {
             .self = {
                 .host = host_name(m_settings->host()),
@@ -118,12 +121,21 @@
             },
             .retrySlack = m_settings->deployment().retry_slack() / 2,
         };
-        for (const auto &seed : m_settings->seeds()) {
-            options.seeds.push_back(withPort(seed, rpcPort));
-        }
+        options.seeds = seedsOf(*m_settings);
         return options;
     }
 
+    // Peer addresses of the control hosts that the settings name.
+    static std::vector<std::string> seedsOf(const schema::node_settings &settings)
+    {
+        const auto rpcPort = endpointParts(settings.rpc()).port;
+        std::vector<std::string> seeds;
+        for (const auto &seed : settings.seeds()) {
+            seeds.push_back(withPort(seed, rpcPort));
+        }
+        return seeds;
+    }
+
     asio::awaitable<void> awaitStop()
     {
         asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
@@ -156,10 +168,23 @@
 
     asio::awaitable<void> awaitReload()
     {
+        using namespace asio::experimental::awaitable_operators;
         asio::signal_set signals(co_await asio::this_coro::executor, SIGHUP);
+        asio::steady_timer timer(co_await asio::this_coro::executor);
         while (true) {
-            co_await signals.async_wait(noThrow);
-            logEvent(log_level::info, "reload");
+            timer.expires_after(reloadEvery);
+            const auto woken = co_await (signals.async_wait(noThrow) || timer.async_wait(noThrow));
+            const bool told = woken.index() == 0;
+            const auto fresh = m_reload();
+            if (!fresh) {
+                continue;
+            }
+            const auto seeds = seedsOf(*fresh);
+            if (told || seeds != m_seeds) {
+                logEvent(log_level::info, "reload", {{"signal", told}, {"seeds", static_cast<std::int64_t>(seeds.size())}, {"changed", seeds != m_seeds}});
+            }
+            m_seeds = seeds;
+            m_watch.addSeeds(m_seeds);
         }
     }
 
@@ -191,6 +216,8 @@
     }
 
     std::shared_ptr<const schema::node_settings> m_settings;
+    settings_reload m_reload;
+    std::vector<std::string> m_seeds;
     std::shared_ptr<message_dialect> m_dialect;
     topology m_fleet;
     asio::io_context m_context {1};
@@ -213,9 +240,9 @@
 
 } // namespace
 
-result<std::unique_ptr<node>> makeEntryNode(std::shared_ptr<const schema::node_settings> settings, const node_front_ends &frontEnds)
+result<std::unique_ptr<node>> makeEntryNode(std::shared_ptr<const schema::node_settings> settings, const node_front_ends &frontEnds, settings_reload reload)
 {
-    auto made = std::make_unique<entry_node>(std::move(settings), frontEnds);
+    auto made = std::make_unique<entry_node>(std::move(settings), frontEnds, std::move(reload));
     if (auto opened = made->open(); !opened) {
         return opened.error();
     }
--- a/src/node/watch_desk.cpp
+++ b/src/node/watch_desk.cpp
@@ -29,11 +29,11 @@
     serve();
 }
 
-void watch_desk::confirm(std::uint64_t position, milliseconds wait, confirm_done done)
+void watch_desk::confirm(std::uint64_t position, required_hosts required, milliseconds wait, confirm_done done)
 {
     {
         const std::lock_guard guard(m_lock);
-        m_confirms.push_back({.position = position, .done = std::move(done), .until = m_clock.now() + wait});
+        m_confirms.push_back({.position = position, .required = required, .done = std::move(done), .until = m_clock.now() + wait});
     }
     serve();
 }
@@ -67,7 +67,7 @@
         }
         for (auto it = m_confirms.begin(); it != m_confirms.end();) {
             const auto next = std::next(it);
-            if (m_closed || now >= it->until || m_hosts.allKnow(it->position, now)) {
+            if (m_closed || now >= it->until || m_hosts.allKnow(it->position, it->required, now)) {
                 confirmed.splice(confirmed.end(), m_confirms, it);
             }
             it = next;
@@ -77,7 +77,7 @@
         each.done(answerTo(each.query));
     }
     for (const auto &each : confirmed) {
-        each.done(m_hosts.allKnow(each.position, now));
+        each.done(m_hosts.allKnow(each.position, each.required, now));
     }
 }
 
--- a/src/node/watch_desk.h
+++ b/src/node/watch_desk.h
@@ -26,8 +26,8 @@
     watch_desk(std::uint64_t source, announcement_log &announcements, entry_host_list &hosts, clock_source &clock);
 
     void ask(watch_query query, answer_done done);
-    /// Calls `done(true)` once all entry hosts that are not away know the announcements up to `position`, or `done(false)` after `wait`.
-    void confirm(std::uint64_t position, milliseconds wait, confirm_done done);
+    /// Calls `done(true)` once all required entry hosts know the announcements up to `position`, or `done(false)` after `wait`.
+    void confirm(std::uint64_t position, required_hosts required, milliseconds wait, confirm_done done);
 
     /// A newer state of the log, and the peer addresses of its members.
     void setState(const ledger_state &state);
@@ -45,6 +45,7 @@
     };
     struct waiting_confirm {
         std::uint64_t position = 0;
+        required_hosts required = required_hosts::present;
         confirm_done done;
         steady_time until {};
     };
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -167,20 +167,24 @@
 {
     manual_clock clock;
     entry_host_list hosts({.awayAfter = milliseconds(1500)});
-    REQUIRE_FALSE(hosts.allKnow(0, clock.now()));
+    REQUIRE_FALSE(hosts.allKnow(0, required_hosts::present, clock.now()));
     hosts.note(hostOf("a", "north"), 7, clock.now());
     hosts.note(hostOf("b", "north"), 6, clock.now());
-    REQUIRE_FALSE(hosts.allKnow(7, clock.now()));
+    REQUIRE_FALSE(hosts.allKnow(7, required_hosts::present, clock.now()));
     hosts.note(hostOf("b", "north"), 7, clock.now());
-    REQUIRE(hosts.allKnow(7, clock.now()));
+    REQUIRE(hosts.allKnow(7, required_hosts::present, clock.now()));
     // A restarted host knows nothing.
     auto restarted = hostOf("b", "north");
     restarted.incarnation = 2;
     hosts.note(restarted, 0, clock.now());
-    REQUIRE_FALSE(hosts.allKnow(7, clock.now()));
+    REQUIRE_FALSE(hosts.allKnow(7, required_hosts::present, clock.now()));
     // Away, it sends nothing on either.
     clock.advance(milliseconds(1000));
     hosts.note(hostOf("a", "north"), 7, clock.now());
     clock.advance(milliseconds(1000));
-    REQUIRE(hosts.allKnow(7, clock.now()));
+    REQUIRE(hosts.allKnow(7, required_hosts::present, clock.now()));
+    // Without a leader it may be this control host that is cut off from it.
+    REQUIRE_FALSE(hosts.allKnow(7, required_hosts::remembered, clock.now()));
+    hosts.note(restarted, 7, clock.now());
+    REQUIRE(hosts.allKnow(7, required_hosts::remembered, clock.now()));
 }
