--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -168,10 +168,20 @@
     };
     using boards = std::map<service_name, service_board>;
     struct candidate;
+    // Requests at usable upstreams of the home region and of the others, and their slots.
+    struct region_loads {
+        double home = 0;
+        double homeSlots = 0;
+        double far = 0;
+        double farSlots = 0;
+        std::uint32_t regions = 0;
+    };
 
     [[nodiscard]] std::vector<candidate> candidatesFor(service_board &board, const dispatch_request &request, steady_time now) const;
     [[nodiscard]] double estimate(const lane &each, steady_time now) const;
     [[nodiscard]] double usableSlots(const service_board &board, const lane &each) const;
+    [[nodiscard]] static region_loads loadsOf(std::span<const candidate> candidates);
+    [[nodiscard]] static dispatch_grant grantAt(const candidate &chosen, const service_name &service, steady_time now);
     dispatch_verdict choose(service_board &board, const dispatch_request &request, steady_time now);
     [[nodiscard]] static const candidate *chooseKept(std::span<const candidate> candidates, bool spills, double workMs);
     [[nodiscard]] static const candidate *chooseSpare(std::span<const candidate> candidates, bool spills, bool mayLeave);
--- /dev/null
+++ b/src/core/text.cpp
@@ -0,0 +1,33 @@
+#include "core/text.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace hornbeampick
+{
+
+std::string lowered(std::string_view text)
+{
+    std::string out(text);
+    std::ranges::transform(out, out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+bool equalIgnoringCase(std::string_view a, std::string_view b)
+{
+    return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+}
+
+endpoint_address parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    endpoint_address parsed {.ip = std::string(text.substr(0, colon)), .port = 0};
+    if (colon != std::string_view::npos) {
+        // A port that is no number stays 0, which nobody listens on.
+        std::from_chars(text.data() + colon + 1, text.data() + text.size(), parsed.port);
+    }
+    return parsed;
+}
+
+} // namespace hornbeampick
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,5 +1,7 @@
 #include "http/http_server.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -13,7 +15,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cctype>
 
 namespace hornbeampick
 {
@@ -33,11 +34,6 @@
 constexpr milliseconds lingerTime {200};
 constexpr unsigned httpOneOne = 11;
 
-bool sameName(std::string_view a, std::string_view b)
-{
-    return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
-}
-
 // Counters that outlive the server while a connection still ends.
 struct server_state {
     std::atomic<bool> draining {false};
@@ -372,13 +368,13 @@
 
 std::string_view http_request::header(std::string_view name) const
 {
-    const auto found = std::ranges::find_if(headers, [&](const auto &header) { return sameName(header.first, name); });
+    const auto found = std::ranges::find_if(headers, [&](const auto &header) { return equalIgnoringCase(header.first, name); });
     return found == headers.end() ? std::string_view() : std::string_view(found->second);
 }
 
 bool http_request::repeats(std::string_view name) const
 {
-    return std::ranges::count_if(headers, [&](const auto &header) { return sameName(header.first, name); }) > 1;
+    return std::ranges::count_if(headers, [&](const auto &header) { return equalIgnoringCase(header.first, name); }) > 1;
 }
 
 result<std::unique_ptr<http_server>> makeHttpServer(const http_server_options &options, asio::io_context &context, http_handler &handler)
--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/digest.h"
 #include "core/shards.h"
+#include "core/text.h"
 
 #include <algorithm>
 #include <array>
@@ -36,13 +37,6 @@
     "host",       "expect",     "proxy-connection"};
 constexpr std::string_view outcomeHeader = "Hornbeampick-Outcome";
 
-std::string lowered(std::string_view text)
-{
-    std::string out(text);
-    std::ranges::transform(out, out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return out;
-}
-
 bool isHopHeader(std::string_view name)
 {
     return std::ranges::find(hopHeaders, lowered(name)) != hopHeaders.end();
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -1,3 +1,4 @@
+#include "core/text.h"
 #include "daemon/await_callback.h"
 #include "node/node.h"
 #include "node_parts.h"
@@ -241,7 +242,7 @@
             .electionTimeout = electionTimeout,
             .heartbeat = logHeartbeat,
         };
-        const auto rpcPort = endpointParts(m_settings->rpc()).port;
+        const auto rpcPort = parseEndpoint(m_settings->rpc()).port;
         for (const auto &seed : m_settings->seeds()) {
             const auto address = withPort(seed, rpcPort);
             options.bootstrap.push_back({.host = host_name(address), .address = address});
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -1,4 +1,5 @@
 #include "control_watch.h"
+#include "core/text.h"
 #include "node/node.h"
 #include "node_parts.h"
 #include "observe/log.h"
@@ -128,7 +129,7 @@
     // Peer addresses of the control hosts that the settings name.
     static std::vector<std::string> seedsOf(const schema::node_settings &settings)
     {
-        const auto rpcPort = endpointParts(settings.rpc()).port;
+        const auto rpcPort = parseEndpoint(settings.rpc()).port;
         std::vector<std::string> seeds;
         for (const auto &seed : settings.seeds()) {
             seeds.push_back(withPort(seed, rpcPort));
--- a/src/node/node_parts.cpp
+++ b/src/node/node_parts.cpp
@@ -1,22 +1,13 @@
 #include "node_parts.h"
 
-#include <cstdlib>
+#include "core/text.h"
 
 namespace hornbeampick
 {
 
-endpoint_parts endpointParts(std::string_view address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos) {
-        return {.ip = std::string(address), .port = 0};
-    }
-    return {.ip = std::string(address.substr(0, colon)), .port = static_cast<std::uint16_t>(std::atoi(std::string(address.substr(colon + 1)).c_str()))};
-}
-
 std::string withPort(std::string_view address, std::uint16_t port)
 {
-    return endpointParts(address).ip + ":" + std::to_string(port);
+    return parseEndpoint(address).ip + ":" + std::to_string(port);
 }
 
 tls_files nodeTls()
@@ -51,7 +42,7 @@
     if (address.empty()) {
         return std::unique_ptr<http_server>();
     }
-    const auto [ip, port] = endpointParts(address);
+    const auto [ip, port] = parseEndpoint(address);
     return makeHttpServer({.address = ip, .port = port, .bodyBytes = bodyBytes}, context, handler);
 }
 
--- a/src/node/node_parts.h
+++ b/src/node/node_parts.h
@@ -16,14 +16,6 @@
 namespace hornbeampick
 {
 
-/// An "ip:port" in its parts.
-struct endpoint_parts {
-    std::string ip;
-    std::uint16_t port = 0;
-};
-
-endpoint_parts endpointParts(std::string_view address);
-
 /// The address of the same service on the host of `address`: ports are the same on all hosts.
 std::string withPort(std::string_view address, std::uint16_t port);
 
--- a/src/relay/message_head.cpp
+++ b/src/relay/message_head.cpp
@@ -1,10 +1,12 @@
 #include "message_head.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/http/rfc7230.hpp>
-#include <cctype>
 #include <charconv>
+#include <cstdio>
 #include <vector>
 
 namespace hornbeampick
@@ -20,17 +22,12 @@
     http::field::trailer,    http::field::upgrade,    http::field::transfer_encoding, http::field::content_length,
 };
 
-bool sameName(std::string_view a, std::string_view b)
-{
-    return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
-}
-
 // Fields that the Connection field names for this connection only.
 std::vector<std::string> namedByConnection(const http::fields &fields)
 {
     std::vector<std::string> names;
     for (const auto &token : http::token_list(fields[http::field::connection])) {
-        if (!sameName(token, "close") && !sameName(token, "keep-alive")) {
+        if (!equalIgnoringCase(token, "close") && !equalIgnoringCase(token, "keep-alive")) {
             names.emplace_back(token);
         }
     }
@@ -43,7 +40,7 @@
     for (const auto &field : fields) {
         const std::string_view name = field.name_string();
         const bool ofConnection = std::ranges::find(connectionFields, field.name()) != connectionFields.end()
-            || std::ranges::any_of(named, [&](const std::string &each) { return sameName(each, name); });
+            || std::ranges::any_of(named, [&](const std::string &each) { return equalIgnoringCase(each, name); });
         if (ofConnection || skip(field.name(), name)) {
             continue;
         }
@@ -86,10 +83,17 @@
     return head;
 }
 
+std::string chunkOf(std::string_view piece)
+{
+    std::array<char, 24> size {};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+    return std::string(size.data()).append(piece).append("\r\n");
+}
+
 std::optional<seconds> keepAliveTimeout(std::string_view field)
 {
     for (const auto &parameter : http::param_list(";" + std::string(field))) {
-        if (!sameName(parameter.first, "timeout")) {
+        if (!equalIgnoringCase(parameter.first, "timeout")) {
             continue;
         }
         const std::string_view digits = parameter.second;
--- a/src/relay/message_head.h
+++ b/src/relay/message_head.h
@@ -44,6 +44,12 @@
 /// Head of the upstream's answer for the caller.
 std::string callerHead(const boost::beast::http::response_header<> &answer, const body_framing &framing, bool keepAlive);
 
+/// Ends a body in chunks.
+constexpr std::string_view lastChunk = "0\r\n\r\n";
+
+/// One chunk of a body; `piece` must not be empty, since that would end the body.
+std::string chunkOf(std::string_view piece);
+
 /// How long an idle connection may still be used, by the upstream's Keep-Alive field; empty when it says nothing.
 std::optional<seconds> keepAliveTimeout(std::string_view field);
 
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -1,5 +1,6 @@
 #include "relay/relay_server.h"
 
+#include "core/text.h"
 #include "observe/log.h"
 #include "relay_session.h"
 
@@ -76,16 +77,13 @@
 
     bool listen()
     {
-        const auto colon = m_options.address.rfind(':');
-        if (colon == std::string::npos) {
-            return false;
-        }
+        const auto [ip, port] = parseEndpoint(m_options.address);
         error_code error;
-        const auto ip = asio::ip::make_address(m_options.address.substr(0, colon), error);
+        const auto address = asio::ip::make_address(ip, error);
         if (error) {
             return false;
         }
-        const tcp::endpoint endpoint(ip, static_cast<std::uint16_t>(std::atoi(m_options.address.c_str() + colon + 1)));
+        const tcp::endpoint endpoint(address, port);
         m_acceptor->open(endpoint.protocol(), error);
         if (!error) {
             m_acceptor->set_option(asio::socket_base::reuse_address(true), error);
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -379,12 +379,7 @@
     answer.link->stream.expires_at(call.deadline);
     std::string piece = std::move(answer.body);
     while (true) {
-        std::string framed = piece;
-        if (framing.chunked && !piece.empty()) {
-            std::array<char, 24> size {};
-            std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
-            framed = size.data() + piece + "\r\n";
-        }
+        const std::string framed = framing.chunked && !piece.empty() ? chunkOf(piece) : piece;
         if (!co_await write(framed, {})) {
             co_return false;
         }
@@ -398,7 +393,6 @@
         }
     }
     attempt.keep(std::move(answer.link), *answer.parser, grant);
-    constexpr std::string_view lastChunk = "0\r\n\r\n";
     const bool written = !framing.chunked || co_await write(lastChunk, {});
     co_return written &&keep;
 }
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -1,6 +1,7 @@
 #include "upstream_attempt.h"
 
 #include "body_reader.h"
+#include "core/text.h"
 #include "message_head.h"
 
 #include <array>
@@ -36,18 +37,10 @@
 
 tcp::endpoint endpointOf(std::string_view address)
 {
-    const auto colon = address.rfind(':');
+    const auto [ip, port] = parseEndpoint(address);
     error_code error;
-    const auto ip = asio::ip::make_address(std::string(address.substr(0, colon)), error);
-    const auto port = colon == std::string_view::npos ? 0 : std::atoi(std::string(address.substr(colon + 1)).c_str());
-    return {error ? asio::ip::address() : ip, static_cast<std::uint16_t>(port)};
-}
-
-std::string chunkOf(std::string_view piece)
-{
-    std::array<char, 24> size {};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
-    return size.data() + std::string(piece) + "\r\n";
+    const auto parsed = asio::ip::make_address(ip, error);
+    return {error ? asio::ip::address() : parsed, port};
 }
 
 body_framing framingOf(const caller_call &call)
@@ -170,7 +163,6 @@
         }
     }
     if (chunked) {
-        constexpr std::string_view lastChunk = "0\r\n\r\n";
         const auto [failed, count] = co_await asio::async_write(m_link->stream, asio::buffer(lastChunk), noThrow);
         m_spoilt = m_spoilt || static_cast<bool>(failed);
     }
--- a/src/rules/routing_table.cpp
+++ b/src/rules/routing_table.cpp
@@ -1,5 +1,7 @@
 #include "rules/routing_table.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <set>
 
@@ -9,13 +11,6 @@
 namespace
 {
 
-std::string lowered(std::string_view text)
-{
-    std::string out(text);
-    std::ranges::transform(out, out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return out;
-}
-
 bool routeIsValid(const route &checked, const std::set<service_name> &known)
 {
     if (checked.hostname.empty() || checked.attempts == 0 || checked.services.empty()) {
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -1,5 +1,7 @@
 #include "settings/settings_file.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <fstream>
@@ -298,8 +300,8 @@
 
 bool isEndpoint(const std::string &text)
 {
-    const auto colon = text.rfind(':');
-    return colon != std::string::npos && isAddress(text.substr(0, colon)) && std::atoi(text.c_str() + colon + 1) > 0;
+    const auto parsed = parseEndpoint(text);
+    return parsed.port > 0 && isAddress(parsed.ip);
 }
 
 // Checks of a node's settings that span several keys.
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -239,29 +239,32 @@
     return usable;
 }
 
-dispatch_verdict dispatcher::choose(service_board &board, const dispatch_request &request, steady_time now)
+dispatcher::region_loads dispatcher::loadsOf(std::span<const candidate> candidates)
 {
-    auto candidates = candidatesFor(board, request, now);
-    double homeLoad = 0;
-    double homeSlots = 0;
-    double farLoad = 0;
-    double farSlots = 0;
-    std::vector<const region_name *> regions;
+    region_loads loads;
+    std::vector<region_name> regions;
     for (const auto &each : candidates) {
-        const auto known = std::ranges::find_if(regions, [&](const region_name *region) { return *region == each.where->region; });
-        if (known == regions.end()) {
-            regions.push_back(&each.where->region);
+        (each.home ? loads.home : loads.far) += each.load;
+        (each.home ? loads.homeSlots : loads.farSlots) += each.slots;
+        if (std::ranges::find(regions, each.where->region) == regions.end()) {
+            regions.push_back(each.where->region);
         }
-        (each.home ? homeLoad : farLoad) += each.load;
-        (each.home ? homeSlots : farSlots) += each.slots;
     }
+    loads.regions = static_cast<std::uint32_t>(regions.size());
+    return loads;
+}
+
+dispatch_verdict dispatcher::choose(service_board &board, const dispatch_request &request, steady_time now)
+{
+    auto candidates = candidatesFor(board, request, now);
+    const auto loads = loadsOf(candidates);
     board.spill.observe(
         {
-            .homeLoad = homeLoad,
-            .homeSlots = homeSlots,
-            .othersLoad = farLoad,
-            .othersSlots = farSlots,
-            .regions = static_cast<std::uint32_t>(regions.size()),
+            .homeLoad = loads.home,
+            .homeSlots = loads.homeSlots,
+            .othersLoad = loads.far,
+            .othersSlots = loads.farSlots,
+            .regions = loads.regions,
             .hosts = m_hostsInRegion,
             .workMs = board.workMs > 0 ? board.workMs : workGuess * static_cast<double>(request.targetLatency.count()),
         },
@@ -269,7 +272,7 @@
     board.overflowTokens = std::min(board.overflowTokens + overflowPart, overflowMost);
 
     const std::uint64_t object = request.object.value_or(m_random.next());
-    const bool spills = homeSlots == 0 || board.spill.spills(stableHash("spill", object));
+    const bool spills = loads.homeSlots == 0 || board.spill.spills(stableHash("spill", object));
     // Objects keep to their upstreams in the order of their scores; others go to the least loaded.
     std::ranges::sort(candidates, [&](const candidate &a, const candidate &b) {
         if (a.home != b.home) {
@@ -280,39 +283,40 @@
     std::erase_if(candidates, [&](const candidate &each) { return each.cold && !mayTakeCold(board, *each.where, now); });
 
     const double work = board.workMs > 0 ? board.workMs : defaultWorkMs;
-    const candidate *chosen = chooseKept(candidates, spills, work);
     const double allowed = allowedWaitMs(request, work);
+    const candidate *chosen = chooseKept(candidates, spills, work);
     const double wait = chosen != nullptr ? chosen->waitMs(work) : 0;
     if (chosen == nullptr || wait > allowed) {
         chosen = chooseSpare(candidates, spills, board.overflowTokens >= 1);
-        if (chosen != nullptr && chosen->home == spills) {
-            board.overflowTokens -= 1;
-        }
     }
-    if (chosen == nullptr) {
-        auto refused = refusal(board);
-        if (candidates.empty()) {
-            refused.error = errc::noUpstream;
-        }
-        refused.load = homeLoad + farLoad;
-        refused.slots = homeSlots + farSlots;
-        refused.wait = milliseconds(static_cast<std::int64_t>(wait));
-        refused.allowedWait = milliseconds(static_cast<std::int64_t>(allowed));
-        return refused;
+    if (chosen != nullptr) {
+        board.overflowTokens -= chosen->home == spills ? 1 : 0;
+        return grantAt(*chosen, request.service, now);
     }
-    const bool slotFree = chosen->hasRoom();
-    if (chosen->cold) {
-        chosen->where->coldLimit.take(1, now);
+    auto refused = refusal(board);
+    refused.error = candidates.empty() ? errc::noUpstream : errc::overloaded;
+    refused.load = loads.home + loads.far;
+    refused.slots = loads.homeSlots + loads.farSlots;
+    refused.wait = milliseconds(static_cast<std::int64_t>(wait));
+    refused.allowedWait = milliseconds(static_cast<std::int64_t>(allowed));
+    return refused;
+}
+
+dispatch_grant dispatcher::grantAt(const candidate &chosen, const service_name &service, steady_time now)
+{
+    const bool slotFree = chosen.hasRoom();
+    if (chosen.cold) {
+        chosen.where->coldLimit.take(1, now);
     }
-    ++chosen->where->inFlight;
-    const auto &report = chosen->where->report;
-    return dispatch_grant {
-        .service = request.service,
+    ++chosen.where->inFlight;
+    const auto &report = chosen.where->report;
+    return {
+        .service = service,
         .instance = report.instance,
         .incarnation = report.incarnation,
         .address = report.address,
         .grantedAt = now,
-        .slotFree = slotFree && !chosen->cold,
+        .slotFree = slotFree && !chosen.cold,
     };
 }
 
