--- a/include/steering/spill_share.h
+++ b/include/steering/spill_share.h
@@ -24,6 +24,8 @@
     // Time between two steps, and the change of one: under the bound on shifts between two windows of 2 s.
     milliseconds interval {250};
     double step = 0.01;
+    // Taking back is not urgent, and each object that moves is cold for its first request.
+    double stepBack = 0.0025;
     double most = 0.9;
     // For this long after the first request the share follows the demand at once: there is no window before to shift from.
     milliseconds settling {600};
--- a/src/steering/spill_share.cpp
+++ b/src/steering/spill_share.cpp
@@ -72,7 +72,7 @@
     if (home > giveAbove && others < m_options.fullAbove) {
         m_share = std::min(m_share + m_options.step, m_options.most);
     } else if (home < takeBelow || others > 1) {
-        m_share = std::max(m_share - m_options.step, 0.0);
+        m_share = std::max(m_share - m_options.stepBack, 0.0);
     }
 }
 
