fleet: a farewell without a body, or at a host that does not know the upstream, is taken

Ruled out: confirmation by entry hosts (no leaving-not-confirmed in the log). Change: a farewell needs the name only. Where its life stands in the body it ends that one; else the entry hosts end the life that they know when they first hear of it, since the control host asked may never have heard of the upstream. A host that hears of the farewell first tells lives apart by time. Gone is final for a life: a late heartbeat of it changes nothing.

Tests: announcements and directory (five cases), the codec, the node case of leaving with a third way; the codec's failed before.

--- a/include/fleet/announcement_log.h
+++ b/include/fleet/announcement_log.h
@@ -55,6 +55,7 @@
         std::uint64_t position = 0;
     };
 
+    std::uint64_t takeFarewell(const upstream_report &heard, steady_time now);
     [[nodiscard]] bool addressIsTaken(const upstream_report &heard) const;
     void retireFormerHolders(const upstream_report &heard);
     [[nodiscard]] static bool tellsNews(const record &known, const upstream_report &heard, steady_time now);
--- a/include/fleet/upstream_directory.h
+++ b/include/fleet/upstream_directory.h
@@ -44,9 +44,21 @@
         std::map<instance_name, statement> statements;
     };
 
+    // The end of an upstream's lives, as far as it was told.
+    struct farewell {
+        // No life up to this one gets work.
+        std::uint64_t ended = 0;
+        wall_ms leftAt = 0;
+
+        [[nodiscard]] bool ends(std::uint64_t incarnation) const;
+    };
+
+    void noteEnd(const upstream_report &report);
+    [[nodiscard]] std::uint64_t newestLife(const instance_name &instance, std::uint64_t notAfter) const;
     [[nodiscard]] bool isHeard(const source_state &state, steady_time now) const;
 
     std::map<std::string, source_state> m_sources;
+    std::map<instance_name, farewell> m_farewells;
     steady_time m_lastHeard {};
 };
 
--- a/include/fleet/upstream_report.h
+++ b/include/fleet/upstream_report.h
@@ -35,6 +35,8 @@
     milliseconds warmupLeft {0};
     // Its reports have stopped.
     bool silent = false;
+    // When it said that it leaves without naming its life, by the wall clock of the host that heard it; 0: it did not.
+    wall_ms leftAt = 0;
 
     bool operator==(const upstream_report &) const = default;
 };
--- a/src/codec/peer_codec.cpp
+++ b/src/codec/peer_codec.cpp
@@ -155,6 +155,7 @@
     message.set_reported_at_ms(static_cast<std::uint64_t>(value.reportedAt));
     message.set_warmup_left_ms(static_cast<std::uint32_t>(value.warmupLeft.count()));
     message.set_silent(value.silent);
+    message.set_left_at_ms(static_cast<std::uint64_t>(value.leftAt));
     return message;
 }
 
@@ -173,6 +174,7 @@
         .reportedAt = static_cast<wall_ms>(value.reported_at_ms()),
         .warmupLeft = milliseconds(value.warmup_left_ms()),
         .silent = value.silent(),
+        .leftAt = static_cast<wall_ms>(value.left_at_ms()),
     };
 }
 
--- a/src/fleet/announcement_log.cpp
+++ b/src/fleet/announcement_log.cpp
@@ -23,6 +23,9 @@
 std::uint64_t announcement_log::report(const upstream_report &heard, steady_time now)
 {
     const std::lock_guard guard(m_lock);
+    if (heard.leftAt != 0) {
+        return takeFarewell(heard, now);
+    }
     if (addressIsTaken(heard)) {
         return m_position;
     }
@@ -33,8 +36,16 @@
     }
     retireFormerHolders(heard);
     const bool news = isNew || tellsNews(known, heard, now);
-    known.report = heard;
+    const auto leftAt = known.report.leftAt;
+    if (heard.address.empty() && heard.incarnation == known.report.incarnation) {
+        // A farewell says no more than the life that ends.
+        known.report.state = heard.state;
+    } else {
+        known.report = heard;
+    }
     known.report.silent = false;
+    // A life that began before the farewell may be the one that left; entry hosts know which they had.
+    known.report.leftAt = heard.incarnation <= static_cast<std::uint64_t>(leftAt) ? leftAt : 0;
     known.heardAt = now;
     if (news) {
         known.coldUntil = now + heard.warmupLeft;
@@ -43,6 +54,23 @@
     return known.position;
 }
 
+// Some upstreams leave without naming their life, and to a host that never heard of them.
+std::uint64_t announcement_log::takeFarewell(const upstream_report &heard, steady_time now)
+{
+    auto &known = m_records[heard.instance];
+    known.heardAt = now;
+    if (known.report.leftAt != 0) {
+        return known.position;
+    }
+    if (known.position == 0) {
+        known.report = heard;
+    }
+    known.report.state = upstream_state::gone;
+    known.report.leftAt = heard.leftAt;
+    known.position = ++m_position;
+    return known.position;
+}
+
 bool announcement_log::expire(steady_time now)
 {
     const std::lock_guard guard(m_lock);
@@ -108,7 +136,7 @@
 // A report of an earlier life at an address that a later one has taken over.
 bool announcement_log::addressIsTaken(const upstream_report &heard) const
 {
-    return std::ranges::any_of(m_records, [&](const auto &item) {
+    return !heard.address.empty() && std::ranges::any_of(m_records, [&](const auto &item) {
         const auto &known = item.second.report;
         return known.address == heard.address && known.instance != heard.instance && known.incarnation > heard.incarnation;
     });
@@ -117,7 +145,8 @@
 void announcement_log::retireFormerHolders(const upstream_report &heard)
 {
     for (auto &[instance, known] : m_records) {
-        const bool former = known.report.address == heard.address && instance != heard.instance && known.report.incarnation < heard.incarnation;
+        const bool former
+            = !heard.address.empty() && known.report.address == heard.address && instance != heard.instance && known.report.incarnation < heard.incarnation;
         if (former && known.report.state != upstream_state::gone) {
             known.report.state = upstream_state::gone;
             known.position = ++m_position;
--- a/src/fleet/upstream_directory.cpp
+++ b/src/fleet/upstream_directory.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds formerLifeValid {6000};
 // So they do when it cannot be reached for this long.
 constexpr milliseconds sourceSilentAfter {6000};
+// Wall clocks of hosts and upstreams differ by less.
+constexpr milliseconds mostSkew {6000};
 
 } // namespace
 
@@ -27,10 +29,47 @@
         }
     }
     for (const auto &report : reports) {
+        noteEnd(report);
         state.statements[report.instance] = {.report = report, .coldUntil = now + report.warmupLeft};
     }
 }
 
+// Without the name of a life, the one that is known when the farewell is first heard ends: a life that is not known yet
+// would otherwise have to be told apart by clocks alone.
+void upstream_directory::noteEnd(const upstream_report &report)
+{
+    const bool named = report.state == upstream_state::gone && report.leftAt == 0;
+    if (!named && report.leftAt == 0) {
+        return;
+    }
+    auto &known = m_farewells[report.instance];
+    if (named) {
+        known.ended = std::max(known.ended, report.incarnation);
+    } else if (report.leftAt > known.leftAt) {
+        known.leftAt = report.leftAt;
+        const auto latest = static_cast<std::uint64_t>(report.leftAt + mostSkew.count());
+        known.ended = std::max({known.ended, report.incarnation, newestLife(report.instance, latest)});
+    }
+}
+
+std::uint64_t upstream_directory::newestLife(const instance_name &instance, std::uint64_t notAfter) const
+{
+    std::uint64_t newest = 0;
+    for (const auto &[source, state] : m_sources) {
+        const auto found = state.statements.find(instance);
+        if (found != state.statements.end() && found->second.report.incarnation <= notAfter) {
+            newest = std::max(newest, found->second.report.incarnation);
+        }
+    }
+    return newest;
+}
+
+bool upstream_directory::farewell::ends(std::uint64_t incarnation) const
+{
+    // No life was known when it left: by the clock.
+    return incarnation <= ended || (ended == 0 && incarnation <= static_cast<std::uint64_t>(leftAt));
+}
+
 bool upstream_directory::isHeard(const source_state &state, steady_time now) const
 {
     const bool cutOff = now >= m_lastHeard + sourceSilentAfter;
@@ -47,6 +86,10 @@
     std::map<instance_name, joined> all;
     for (const auto &[source, state] : m_sources) {
         for (const auto &[instance, said] : state.statements) {
+            if (said.report.address.empty()) {
+                // A farewell to a host that does not know it.
+                continue;
+            }
             auto &entry = all[instance];
             if (entry.newest == nullptr || said.report.incarnation > entry.newest->report.incarnation) {
                 entry = {.newest = &said};
@@ -70,7 +113,9 @@
     for (const auto &[instance, entry] : all) {
         known_upstream known {.report = entry.newest->report, .coldUntil = entry.coldUntil};
         known.report.silent = entry.silent;
-        if (known.report.incarnation < holders[known.report.address]) {
+        const auto left = m_farewells.find(instance);
+        const bool ended = left != m_farewells.end() && left->second.ends(known.report.incarnation);
+        if (ended || known.report.incarnation < holders[known.report.address]) {
             known.report.state = upstream_state::gone;
         }
         upstreams.push_back(std::move(known));
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -71,7 +71,8 @@
         m_files = std::move(files.value());
         m_store = makeReplicaFileStore(*m_files);
         m_replica = std::make_unique<replica_node>(replicaOptions(), *m_store, *this, *this, m_clock, m_random);
-        auto server = makeGrpcControlServer(m_settings->rpc(), nodeTls(), *this, &m_counters);
+        const auto &listenAt = m_settings->rpc_listen().empty() ? m_settings->rpc() : m_settings->rpc_listen();
+        auto server = makeGrpcControlServer(listenAt, nodeTls(), *this, &m_counters);
         if (!server) {
             return server.error();
         }
@@ -113,6 +114,9 @@
 
     asio::awaitable<status> announce(upstream_report report) override
     {
+        if (report.state == upstream_state::gone && report.incarnation == 0) {
+            report.leftAt = m_clock.wallNow();
+        }
         const auto before = m_announcements.position();
         const auto state = report.state;
         const auto instance = report.instance;
--- a/tests/fakes/fault_proxy.cpp
+++ b/tests/fakes/fault_proxy.cpp
@@ -47,9 +47,9 @@
 } // namespace
 
 struct fault_proxy::state {
-    explicit state(std::string to)
+    state(std::string to, const std::string &listen)
         : target(std::move(to))
-        , acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , acceptor(context, endpointOf(listen))
     {
     }
 
@@ -138,8 +138,8 @@
     }
 };
 
-fault_proxy::fault_proxy(std::string target)
-    : m_state(std::make_shared<state>(std::move(target)))
+fault_proxy::fault_proxy(std::string target, const std::string &listen)
+    : m_state(std::make_shared<state>(std::move(target), listen))
 {
     m_state->threads = 1;
     std::thread([self = m_state] { self->accept(self); }).detach();
@@ -160,7 +160,8 @@
 
 std::string fault_proxy::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_state->acceptor.local_endpoint().port());
+    const auto at = m_state->acceptor.local_endpoint();
+    return at.address().to_string() + ":" + std::to_string(at.port());
 }
 
 void fault_proxy::setTarget(const std::string &target)
--- a/tests/fakes/fault_proxy.h
+++ b/tests/fakes/fault_proxy.h
@@ -13,8 +13,8 @@
 class fault_proxy
 {
 public:
-    /// Listens on a free port of 127.0.0.1 and connects on to `target` ("ip:port").
-    explicit fault_proxy(std::string target);
+    /// Listens at `listen` ("ip:port"), or on a free port of 127.0.0.1, and connects on to `target`.
+    explicit fault_proxy(std::string target, const std::string &listen = "127.0.0.1:0");
     ~fault_proxy();
     fault_proxy(const fault_proxy &) = delete;
     fault_proxy &operator=(const fault_proxy &) = delete;
--- a/tests/fakes/node_fleet.cpp
+++ b/tests/fakes/node_fleet.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/process.hpp>
+#include <boost/process/environment.hpp>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -35,7 +36,9 @@
 constexpr std::uint16_t controlOffset = 2;
 constexpr std::uint16_t directoryOffset = 3;
 constexpr std::uint16_t rpcOffset = 4;
-constexpr std::uint16_t portsUsed = 5;
+// Behind the proxy.
+constexpr std::uint16_t rpcListenOffset = 5;
+constexpr std::uint16_t portsUsed = 6;
 
 std::string joined(const std::string &ip, unsigned port)
 {
@@ -150,14 +153,22 @@
 }
 
 node_fleet::node_fleet(std::size_t controlHosts, std::size_t entryHosts)
+    : node_fleet(node_fleet_options {.controlHosts = controlHosts, .entryHosts = entryHosts})
+{
+}
+
+node_fleet::node_fleet(const node_fleet_options &options)
     : m_folder(std::filesystem::temp_directory_path() / ("hornbeampick-nodes-" + std::to_string(::getpid()) + "-" + std::to_string(std::rand())))
-    , m_controlHosts(controlHosts)
-    , m_entryHosts(entryHosts)
+    , m_options(options)
 {
     const auto pid = static_cast<unsigned>(::getpid());
     m_network = "127." + std::to_string(20 + pid % 200) + "." + std::to_string(pid / 200 % 250) + ".";
     m_port = freeBase(m_network + "10");
     std::filesystem::create_directories(m_folder);
+    for (std::size_t i = 0; m_options.proxies && i < m_options.controlHosts; ++i) {
+        const auto ip = ipOf("control-" + std::to_string(i));
+        m_proxies.push_back(std::make_unique<fault_proxy>(joined(ip, m_port + rpcListenOffset), joined(ip, m_port + rpcOffset)));
+    }
 }
 
 node_fleet::~node_fleet()
@@ -198,6 +209,16 @@
     return joined(ipOf("entry-" + std::to_string(host)), m_port + readinessOffset);
 }
 
+fault_proxy &node_fleet::proxyOf(std::size_t controlHost)
+{
+    return *m_proxies.at(controlHost);
+}
+
+std::filesystem::path node_fleet::faultFileOf(const std::string &name) const
+{
+    return m_folder / (name + ".faults");
+}
+
 std::string node_fleet::regionOf(std::size_t host)
 {
     return host % 2 == 0 ? "north" : "south";
@@ -216,10 +237,13 @@
     std::ostringstream text;
     text << "host: " << name << "\nregion: " << regionOf(number) << "\nfailureDomain: " << domainOf(number) << "\nrpc: '" << joined(ip, m_port + rpcOffset)
          << "'\nbootstrap: " << (bootstrap ? "true" : "false") << "\nthreads: 2\nseeds:\n";
-    for (std::size_t i = 0; i < std::min<std::size_t>(3, m_controlHosts); ++i) {
+    for (std::size_t i = 0; i < std::min<std::size_t>(3, m_options.controlHosts); ++i) {
         text << "  - '" << control(i) << "'\n";
     }
     if (isControl) {
+        if (m_options.proxies) {
+            text << "rpcListen: '" << joined(ip, m_port + rpcListenOffset) << "'\n";
+        }
         text << "control: '" << control(number) << "'\ndirectory: '" << directory(number) << "'\ndataFolder: '" << (m_folder / name).string() << "'\n";
     } else {
         text << "front: '" << front(number) << "'\nreadiness: '" << readiness(number) << "'\n";
@@ -236,21 +260,29 @@
     std::filesystem::create_directories(m_folder / name);
     const auto settings = m_folder / (name + ".yaml");
     std::ofstream(settings) << settingsOf(name, bootstrap);
+    if (!m_options.preload.empty() && !std::filesystem::exists(faultFileOf(name))) {
+        std::ofstream(faultFileOf(name)) << std::string(64, '\0');
+    }
     const auto log = (m_folder / (name + ".log")).string();
     auto *file = std::fopen(log.c_str(), "a");
     auto running = std::make_unique<host>();
-    running->child
-        = process::child(HORNBEAMPICK_DAEMON, "--node", settings.string(), process::std_in<process::null, process::std_out> file, process::std_err > file);
+    process::environment environment = boost::this_process::environment();
+    if (!m_options.preload.empty()) {
+        environment["LD_PRELOAD"] = m_options.preload;
+        environment["HORNBEAMPICK_FAULTS"] = faultFileOf(name).string();
+    }
+    running->child = process::child(HORNBEAMPICK_DAEMON, "--node", settings.string(), environment, process::std_in<process::null, process::std_out> file,
+                                    process::std_err > file);
     std::fclose(file);
     m_hosts[name] = std::move(running);
 }
 
 void node_fleet::startAll()
 {
-    for (std::size_t i = 0; i < m_entryHosts; ++i) {
+    for (std::size_t i = 0; i < m_options.entryHosts; ++i) {
         start("entry-" + std::to_string(i), true);
     }
-    for (std::size_t i = m_controlHosts; i > 0; --i) {
+    for (std::size_t i = m_options.controlHosts; i > 0; --i) {
         start("control-" + std::to_string(i - 1), true);
     }
 }
@@ -263,7 +295,16 @@
 
 void node_fleet::signal(const std::string &name, int number)
 {
-    ::kill(m_hosts.at(name)->child.id(), number);
+    // Not to one that has ended: its number may be another process's now.
+    if (runs(name)) {
+        ::kill(m_hosts.at(name)->child.id(), number);
+    }
+}
+
+bool node_fleet::runs(const std::string &name)
+{
+    std::error_code ignored;
+    return m_hosts.at(name)->child.running(ignored);
 }
 
 int node_fleet::awaitExit(const std::string &name)
@@ -295,17 +336,23 @@
 {
     const std::string body = R"({"version":"r)" + std::to_string(version)
         + R"(","routes":{"columns":["name","hostname","path_prefix","route_type","timeout_ms","target_latency_ms","priority","service","max_attempts"],"rows":[)"
-        + R"(["a","x","/again)" + prefix + R"(/","idempotent",3000,400,1,"s",2],["o","x","/once/","non_idempotent",3000,400,0,"s",2]]},)"
+        + R"(["a","x","/again)" + prefix
+        + R"(/","idempotent",3000,400,1,"s",2],["r","x","/retry/","idempotent",3000,400,1,"s",2],["o","x","/once/","non_idempotent",3000,400,0,"s",2]]},)"
         + R"("services":{"columns":["name","warmup_s","warmup_per_s"],"rows":[["s",1.0,20.0]]}})";
     std::size_t turn = 0;
-    return awaitCondition([&] { return callHttp(control(turn++ % m_controlHosts), "POST", "/-/Config.Put", body).status == 200; });
+    return awaitCondition([&] { return callHttp(control(turn++ % m_options.controlHosts), "POST", "/-/Config.Put", body).status == 200; });
+}
+
+unsigned node_fleet::leave(std::size_t control, const std::string &instance)
+{
+    return callHttp(this->control(control), "POST", "/-/Instances.Deregister/" + instance).status;
 }
 
 unsigned node_fleet::report(std::size_t control, const std::string &instance, const std::string &address, const std::string &state, std::uint64_t sequence,
-                            const std::string &domain, bool leaves)
+                            const std::string &domain, bool leaves, std::uint64_t incarnation)
 {
     const std::string body = R"({"service":"s","address":")" + address + R"(","zone":")" + domain + R"(","version":"v1","slots":8,"state":")" + state
-        + R"(","warmup_left_ms":0,"seq":)" + std::to_string(sequence) + R"(,"born":1790000000000})";
+        + R"(","warmup_left_ms":0,"seq":)" + std::to_string(sequence) + R"(,"born":)" + std::to_string(incarnation) + "}";
     return callHttp(this->control(control), "POST", (leaves ? "/-/Instances.Deregister/" : "/-/Instances.Heartbeat/") + instance, body).status;
 }
 
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -188,3 +188,86 @@
     hosts.note(restarted, 7, clock.now());
     REQUIRE(hosts.allKnow(7, required_hosts::remembered, clock.now()));
 }
+
+namespace
+{
+
+// An upstream that leaves without saying more than its name.
+upstream_report farewell(std::string_view instance, wall_ms leftAt)
+{
+    return {.instance = instance_name(instance), .state = upstream_state::gone, .leftAt = leftAt};
+}
+
+} // namespace
+
+TEST_CASE("announcements: a farewell that names no life ends the one that is known, and is final", "[announcements]")
+{
+    manual_clock clock;
+    announcement_log log;
+    const auto first = log.report(reportOf("a", 1000, 5), clock.now());
+    const auto left = log.report(farewell("a", 2000), clock.now());
+    REQUIRE(left > first);
+    REQUIRE(log.report(farewell("a", 2500), clock.now()) == left);
+    log.report(reportOf("a", 1000, 6), clock.now());
+    const auto told = log.changedAfter(first, clock.now());
+    REQUIRE(told.size() == 1);
+    REQUIRE(told.front().state == upstream_state::gone);
+    REQUIRE(told.front().service == service_name("s"));
+    log.report(reportOf("a", 3000, 1), clock.now());
+    REQUIRE(log.changedAfter(left, clock.now()).front().state == upstream_state::active);
+}
+
+TEST_CASE("announcements: a farewell that names its life need not say more", "[announcements]")
+{
+    manual_clock clock;
+    announcement_log log;
+    log.report(reportOf("a", 1000, 5), clock.now());
+    upstream_report named {.instance = instance_name("a"), .incarnation = 1000, .state = upstream_state::gone};
+    const auto left = log.report(named, clock.now());
+    const auto told = log.changedAfter(left - 1, clock.now());
+    REQUIRE(told.size() == 1);
+    REQUIRE(told.front().state == upstream_state::gone);
+    REQUIRE(told.front().address == "10.0.0.1:80");
+    // That of a former life changes nothing.
+    log.report(reportOf("a", 2000, 1), clock.now());
+    log.report(named, clock.now());
+    REQUIRE(log.changedAfter(left, clock.now()).front().state == upstream_state::active);
+}
+
+TEST_CASE("directory: a farewell at a control host that never heard of the upstream ends the life known from others", "[announcements]")
+{
+    manual_clock clock;
+    upstream_directory directory;
+    directory.onReports("c1", 1, std::vector {reportOf("a", 1000, 5)}, clock.now());
+    directory.onReports("c2", 1, std::vector {farewell("a", 2000)}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.state == upstream_state::gone);
+    // A heartbeat that was on its way does not bring it back; a later life does.
+    directory.onReports("c1", 1, std::vector {reportOf("a", 1000, 6)}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.state == upstream_state::gone);
+    directory.onReports("c3", 1, std::vector {reportOf("a", 3000, 1)}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.state == upstream_state::active);
+}
+
+TEST_CASE("directory: a host that learns of a farewell before the upstream tells lives apart by the time", "[announcements]")
+{
+    manual_clock clock;
+    upstream_directory directory;
+    directory.onReports("c2", 1, std::vector {farewell("a", 2000)}, clock.now());
+    REQUIRE(directory.upstreams(clock.now()).empty());
+    directory.onReports("c1", 1, std::vector {reportOf("a", 1000, 5)}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.state == upstream_state::gone);
+    directory.onReports("c1", 1, std::vector {reportOf("a", 2100, 1)}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.state == upstream_state::active);
+}
+
+TEST_CASE("directory: a farewell told late by another control host does not end the next life", "[announcements]")
+{
+    manual_clock clock;
+    upstream_directory directory;
+    constexpr wall_ms left = 1'000'000;
+    directory.onReports("c1", 1, std::vector {reportOf("a", 1000, 5)}, clock.now());
+    directory.onReports("c2", 1, std::vector {farewell("a", left)}, clock.now());
+    directory.onReports("c1", 1, std::vector {reportOf("a", left + 20000, 1)}, clock.now());
+    directory.onReports("c3", 1, std::vector {farewell("a", left + 500)}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.state == upstream_state::active);
+}
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -221,9 +221,13 @@
 {
     node_bench bench;
     INFO(bench.fleet.logs());
-    const bool planned = GENERATE(true, false);
+    // Planned; without notice; without notice at a host that has not heard of it, and saying no more than its name.
+    const int way = GENERATE(0, 1, 2);
     bench.upstreams.remove("n");
-    const auto status = [&] { return bench.fleet.report(1, "n", bench.north.address(), planned ? "draining" : "ready", 100000, "north-a", !planned); };
+    const auto status = [&] {
+        return way == 2 ? bench.fleet.leave(2, "n")
+                        : bench.fleet.report(1, "n", bench.north.address(), way == 0 ? "draining" : "ready", 100000, "north-a", way == 1);
+    };
     REQUIRE(awaitCondition([&] { return status() == 200; }));
     const auto before = bench.north.requests();
     for (int i = 0; i < 20; ++i) {
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -108,6 +108,12 @@
     REQUIRE(report.value().warmupLeft == milliseconds(250));
     REQUIRE(report.value().domain == domain_name("z"));
     REQUIRE(readAnnouncement("i-1", good, true).value().state == upstream_state::gone);
+    // A farewell may come without a body, or with the life that ends.
+    REQUIRE(readAnnouncement("i-1", "", true).value().state == upstream_state::gone);
+    REQUIRE(readAnnouncement("i-1", "", true).value().incarnation == 0);
+    REQUIRE(readAnnouncement("i-1", R"({"born":1790000000000})", true).value().incarnation == 1790000000000U);
+    REQUIRE(readAnnouncement("i-1", R"({"born":"x"})", true).error() == errc::malformedAnnouncement);
+    REQUIRE(readAnnouncement("i-1", "\x80", true).error() == errc::malformedAnnouncement);
     for (const auto *bad :
          {R"({"service":"s","zone":"z","slots":6,"state":"ready","seq":4})", R"({"service":7,"address":"a","zone":"z","slots":6,"state":"ready","seq":4})",
           R"({"service":"s","address":"a","zone":"z","slots":"x","state":"ready","seq":4})",
