soak: real programs under random faults from outside, with the promises judged from what is seen

A world of real control and entry hosts, upstreams, callers and an operator; faults drawn from a seed in overlapping series: processes killed, paused, stopped, reloaded, all at once; disks emptied, slow, full; clocks stepped (a preloaded library, steered through a small file); links to control hosts and upstreams cut one way or both, silenced, delayed, reset; upstreams that crash, leave, come back, swap addresses. Eight promises, each a class judged on the record: runs-once, own-answer, true-refusal, answers-in-time, left-alone, routes-in-force, fresh-reads, recovers.

--- /dev/null
+++ b/soak/fault_shim.cpp
@@ -0,0 +1,102 @@
+// Preloaded into a process to make its storage and its clock misbehave, as a small file says from outside.
+
+#include "fault_block.h"
+
+#include <cerrno>
+#include <cstdlib>
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <sys/mman.h>
+#include <sys/stat.h>
+#include <time.h>
+#include <unistd.h>
+
+using hornbeampick::soak::fault_block;
+
+namespace
+{
+
+constexpr long nanosecondsAMillisecond = 1000000;
+constexpr long millisecondsASecond = 1000;
+
+const fault_block *block()
+{
+    static const fault_block *mapped = [] {
+        const char *path = std::getenv("HORNBEAMPICK_FAULTS");
+        const int file = path == nullptr ? -1 : ::open(path, O_RDONLY | O_CLOEXEC);
+        void *at = file < 0 ? MAP_FAILED : ::mmap(nullptr, sizeof(fault_block), PROT_READ, MAP_SHARED, file, 0);
+        return at == MAP_FAILED ? nullptr : static_cast<const fault_block *>(at);
+    }();
+    return mapped;
+}
+
+template <typename Function> Function next(const char *name)
+{
+    return reinterpret_cast<Function>(::dlsym(RTLD_NEXT, name));
+}
+
+bool isRegularFile(int file)
+{
+    struct stat status = {};
+    return ::fstat(file, &status) == 0 && S_ISREG(status.st_mode);
+}
+
+// False when the call must fail.
+bool admitSync()
+{
+    const auto *faults = block();
+    if (faults == nullptr) {
+        return true;
+    }
+    if (faults->syncDelayMs > 0) {
+        const timespec pause {.tv_sec = faults->syncDelayMs / millisecondsASecond,
+                              .tv_nsec = (faults->syncDelayMs % millisecondsASecond) * nanosecondsAMillisecond};
+        ::nanosleep(&pause, nullptr);
+    }
+    return faults->diskFull == 0;
+}
+
+} // namespace
+
+extern "C" int fsync(int file)
+{
+    static const auto real = next<int (*)(int)>("fsync");
+    if (!admitSync()) {
+        errno = ENOSPC;
+        return -1;
+    }
+    return real(file);
+}
+
+extern "C" int fdatasync(int file)
+{
+    static const auto real = next<int (*)(int)>("fdatasync");
+    if (!admitSync()) {
+        errno = ENOSPC;
+        return -1;
+    }
+    return real(file);
+}
+
+extern "C" ssize_t write(int file, const void *bytes, size_t count)
+{
+    static const auto real = next<ssize_t (*)(int, const void *, size_t)>("write");
+    const auto *faults = block();
+    // Standard output is a file, too; logs are not what fills up here.
+    if (faults != nullptr && faults->diskFull != 0 && file > STDERR_FILENO && isRegularFile(file)) {
+        errno = ENOSPC;
+        return -1;
+    }
+    return real(file, bytes, count);
+}
+
+extern "C" int clock_gettime(clockid_t clock, timespec *time) noexcept
+{
+    static const auto real = next<int (*)(clockid_t, timespec *)>("clock_gettime");
+    const int result = real(clock, time);
+    const auto *faults = clock == CLOCK_REALTIME ? block() : nullptr;
+    if (result == 0 && faults != nullptr) {
+        time->tv_sec += faults->clockAheadMs / millisecondsASecond;
+    }
+    return result;
+}
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,95 @@
+// Runs the real programs under random faults from outside and checks what the system promises.
+
+#include "promise.h"
+#include "world.h"
+
+#include <cxxopts.hpp>
+#include <iostream>
+#include <set>
+
+namespace
+{
+
+using namespace hornbeampick;
+using namespace hornbeampick::soak;
+
+void printPlan(std::span<const planned_fault> plan)
+{
+    for (const auto &each : plan) {
+        std::cout << "  " << each.at.count() << " ms, for " << each.span.count() << " ms: " << each.what->name();
+        for (const auto &host : each.what->hosts()) {
+            std::cout << ' ' << host;
+        }
+        std::cout << '\n';
+    }
+}
+
+// Returns the number of promises that were not kept.
+std::size_t playSeed(world_options shape, std::uint64_t seed, milliseconds length, bool verbose)
+{
+    shape.seed = seed;
+    world played(shape);
+    if (!played.begin()) {
+        std::cout << "seed " << seed << ": did not start\n" << played.logs();
+        return 1;
+    }
+    const auto plan = drawFaults(played.targets(), {.seed = seed, .length = length});
+    if (verbose) {
+        printPlan(plan);
+    }
+    played.play(plan);
+    const auto seen = played.seen();
+    const auto findings = judgeAll(seen);
+    std::size_t served = 0;
+    for (const auto &story : seen.requests) {
+        served += story.caller.status == 200 ? 1 : 0;
+    }
+    std::cout << "seed " << seed << ": " << plan.size() << " faults, " << seen.requests.size() << " requests, " << served << " served, " << seen.accepted.size()
+              << " versions, " << seen.leavings.size() << " leavings, " << findings.size() << " findings" << std::endl;
+    std::map<std::string, std::size_t> counts;
+    constexpr std::size_t shownOfEach = 5;
+    for (const auto &found : findings) {
+        if (++counts[found.promise] <= shownOfEach) {
+            std::cout << "  " << found.promise << ": " << found.what << '\n';
+        }
+    }
+    if (!findings.empty()) {
+        printPlan(plan);
+        std::cout << played.logs() << std::endl;
+    }
+    return counts.size();
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("hornbeampick_soak", "Real programs under random faults.");
+    auto add = options.add_options();
+    add("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("seeds", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("seconds", "length of the faults of one seed", cxxopts::value<int>()->default_value("30"));
+    add("control", "control hosts", cxxopts::value<std::size_t>()->default_value("5"));
+    add("entry", "entry hosts", cxxopts::value<std::size_t>()->default_value("4"));
+    add("upstreams", "upstreams", cxxopts::value<std::size_t>()->default_value("6"));
+    add("verbose", "print the faults", cxxopts::value<bool>()->default_value("false"));
+    add("help", "print this");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+        std::cout << options.help();
+        return 0;
+    }
+    const world_options shape {
+        .controlHosts = parsed["control"].as<std::size_t>(),
+        .entryHosts = parsed["entry"].as<std::size_t>(),
+        .upstreams = parsed["upstreams"].as<std::size_t>(),
+        .faultLibrary = HORNBEAMPICK_FAULT_LIBRARY,
+    };
+    const auto first = parsed["seed"].as<std::uint64_t>();
+    std::size_t failed = 0;
+    for (std::uint64_t seed = first; seed < first + parsed["seeds"].as<std::uint64_t>(); ++seed) {
+        failed += playSeed(shape, seed, std::chrono::seconds(parsed["seconds"].as<int>()), parsed["verbose"].as<bool>()) > 0 ? 1 : 0;
+    }
+    std::cout << failed << " seeds with findings" << std::endl;
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/promise_test.cpp
@@ -0,0 +1,220 @@
+// What the soak finds and what it lets pass, on records written by hand.
+
+#include "soak/fault.h"
+#include "soak/promise.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace hornbeampick;
+using namespace hornbeampick::soak;
+
+namespace
+{
+
+const steady_time start {seconds(100)};
+
+soak_record calmRecord()
+{
+    soak_record record;
+    record.requests.push_back(
+        {.caller = {.id = "a", .runOnce = true, .askedAt = start, .endedAt = start + seconds(1), .deadline = seconds(2), .status = 200, .body = "for a"},
+         .runs = {{.id = "a", .instance = "u0", .at = start}}});
+    record.end = {.entryReady = {true, true}, .asked = 10, .served = 10, .version = 3};
+    return record;
+}
+
+std::string foundIn(const soak_record &record)
+{
+    const auto findings = judgeAll(record);
+    return findings.empty() ? "" : findings.front().promise;
+}
+
+} // namespace
+
+TEST_CASE("soak: a record in which all is well has no findings", "[soak]")
+{
+    REQUIRE(foundIn(calmRecord()).empty());
+}
+
+TEST_CASE("soak: a second run of a request that may run once is found, that of another is not", "[soak]")
+{
+    auto record = calmRecord();
+    record.requests[0].runs.push_back({.id = "a", .instance = "u1", .at = start});
+    REQUIRE(foundIn(record) == "runs-once");
+    record.requests[0].caller.runOnce = false;
+    REQUIRE(foundIn(record).empty());
+}
+
+TEST_CASE("soak: a foreign answer, a refusal of what has run and a late answer are found", "[soak]")
+{
+    auto record = calmRecord();
+    record.requests[0].caller.body = "for b";
+    REQUIRE(foundIn(record) == "own-answer");
+    record = calmRecord();
+    record.requests[0].caller.status = 503;
+    REQUIRE(foundIn(record) == "true-refusal");
+    record = calmRecord();
+    record.requests[0].caller.endedAt = start + seconds(4);
+    REQUIRE(foundIn(record) == "answers-in-time");
+    // Its entry host stood still.
+    record.disturbances.push_back({.host = "entry-0", .from = start, .to = start + seconds(2)});
+    REQUIRE(foundIn(record).empty());
+}
+
+TEST_CASE("soak: a request to an upstream that has left is found, unless its host was out of touch or the upstream is back", "[soak]")
+{
+    auto record = calmRecord();
+    record.leavings.push_back({.instance = "u0", .acknowledgedAt = start - seconds(3), .until = start + seconds(1)});
+    REQUIRE(foundIn(record) == "left-alone");
+    record.leavings[0].until = start - seconds(1);
+    REQUIRE(foundIn(record).empty());
+    record.leavings[0].until = start + seconds(1);
+    record.disturbances.push_back({.host = "control-1", .from = start - seconds(9), .to = start - seconds(1)});
+    REQUIRE(foundIn(record).empty());
+}
+
+TEST_CASE("soak: old reads, routes that are not in force and lost versions are found", "[soak]")
+{
+    auto record = calmRecord();
+    record.accepted.push_back({.version = 3, .acknowledgedAt = start, .supersededAt = steady_time::max()});
+    REQUIRE(foundIn(record).empty());
+    record.reads.push_back({.host = "control-0", .sentAt = start + seconds(2), .version = 2});
+    REQUIRE(foundIn(record).empty());
+    record.reads[0].sentAt = start + seconds(3);
+    REQUIRE(foundIn(record) == "fresh-reads");
+    record.reads.clear();
+    record.probes.push_back({.entry = 0, .version = 3, .sentAt = start + seconds(3), .endedAt = start + seconds(3), .status = 404});
+    REQUIRE(foundIn(record) == "routes-in-force");
+    record.probes.clear();
+    record.end.version = 2;
+    REQUIRE(foundIn(record) == "recovers");
+}
+
+TEST_CASE("soak: hosts that are not ready at the end, do not stop, or serve too little are found", "[soak]")
+{
+    auto record = calmRecord();
+    record.end.entryReady[1] = false;
+    REQUIRE(foundIn(record) == "recovers");
+    record = calmRecord();
+    record.end.served = 2;
+    REQUIRE(foundIn(record) == "recovers");
+    record = calmRecord();
+    record.end.stuck.emplace_back("entry-1");
+    REQUIRE(foundIn(record) == "recovers");
+}
+
+namespace
+{
+
+// Checks that begins and heals alternate for each host.
+class scene_mock final : public fault_scene
+{
+public:
+    std::map<std::string, int> down;
+    int calls = 0;
+
+    void kill(const std::string &host) override
+    {
+        ++calls;
+        down[host] = 1;
+    }
+    void start(const std::string &host) override
+    {
+        ++calls;
+        down[host] = 0;
+    }
+    void pause(const std::string &host) override
+    {
+        kill(host);
+    }
+    void resume(const std::string &host) override
+    {
+        start(host);
+    }
+    void stop(const std::string &host) override
+    {
+        kill(host);
+    }
+    void reload(const std::string & /*host*/) override
+    {
+    }
+    void emptyDisk(const std::string & /*host*/) override
+    {
+    }
+    void slowDisk(const std::string &host, milliseconds delay) override
+    {
+        down["disk " + host] = delay.count() != 0 ? 1 : 0;
+    }
+    void fillDisk(const std::string &host, bool full) override
+    {
+        down["full " + host] = full ? 1 : 0;
+    }
+    void stepClock(const std::string &host, milliseconds ahead) override
+    {
+        down["clock " + host] = ahead.count() != 0 ? 1 : 0;
+    }
+    void cutLink(const std::string &to, bool fromClient, bool toClient) override
+    {
+        down["cut " + to] = fromClient || toClient ? 1 : 0;
+    }
+    void silenceLink(const std::string &to, bool silent) override
+    {
+        down["silent " + to] = silent ? 1 : 0;
+    }
+    void delayLink(const std::string &to, milliseconds time) override
+    {
+        down["delay " + to] = time.count() != 0 ? 1 : 0;
+    }
+    void resetLink(const std::string & /*to*/) override
+    {
+    }
+    void crashUpstream(const std::string &upstream) override
+    {
+        down[upstream] = 1;
+    }
+    void restartUpstream(const std::string &upstream) override
+    {
+        down[upstream] = 0;
+    }
+    void retireUpstream(const std::string &upstream) override
+    {
+        down["leaving " + upstream] = 1;
+    }
+    void admitUpstream(const std::string &upstream) override
+    {
+        down["leaving " + upstream] = 0;
+    }
+    void swapAddresses(const std::string & /*first*/, const std::string & /*second*/) override
+    {
+    }
+};
+
+} // namespace
+
+TEST_CASE("soak: the same seed draws the same faults, in their time, and healing leaves nothing broken", "[soak]")
+{
+    const fault_targets targets {
+        .controlHosts = {"control-0", "control-1", "control-2"}, .entryHosts = {"entry-0", "entry-1"}, .upstreams = {"u0", "u1", "u2"}};
+    for (std::uint64_t seed = 1; seed < 50; ++seed) {
+        const fault_plan_options options {.seed = seed, .length = seconds(60)};
+        const auto plan = drawFaults(targets, options);
+        const auto again = drawFaults(targets, options);
+        REQUIRE(plan.size() > 10);
+        REQUIRE(plan.size() == again.size());
+        scene_mock scene;
+        for (std::size_t i = 0; i < plan.size(); ++i) {
+            REQUIRE(plan[i].at == again[i].at);
+            REQUIRE(plan[i].what->name() == again[i].what->name());
+            REQUIRE(plan[i].at + plan[i].span <= options.length);
+            plan[i].what->begin(scene);
+        }
+        for (const auto &each : plan) {
+            each.what->heal(scene);
+        }
+        for (const auto &[what, broken] : scene.down) {
+            CAPTURE(seed, what);
+            REQUIRE(broken == 0);
+        }
+    }
+}
