node: control hosts keep what upstreams announced on disk

Until then objects are placed on the few that are known: those are flooded, and the objects are cold there, and later again. Change: an announcement_store on the data folder, written by a thread of its own, gathered over 250 ms. That an upstream leaves is accepted only once it is on disk: a stale list must not bring it back. What was restored falls silent like all else when it is not heard again.

--- a/include/fleet/announcement_log.h
+++ b/include/fleet/announcement_log.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
 
     /// Takes a report in. Returns the position from which watchers know what it says; an outdated report changes nothing.
     std::uint64_t report(const upstream_report &heard, steady_time now);
+    /// Takes in what an earlier process of this host knew. Before any report.
+    void restore(std::span<const upstream_report> known, steady_time now);
     /// Marks upstreams as silent and forgets old tombstones. Returns true when something changed for watchers.
     bool expire(steady_time now);
 
--- a/src/fleet/announcement_log.cpp
+++ b/src/fleet/announcement_log.cpp
@@ -54,6 +54,14 @@
     return known.position;
 }
 
+void announcement_log::restore(std::span<const upstream_report> known, steady_time now)
+{
+    const std::lock_guard guard(m_lock);
+    for (const auto &report : known) {
+        m_records[report.instance] = {.report = report, .heardAt = now, .coldUntil = now + report.warmupLeft, .position = ++m_position};
+    }
+}
+
 // Some upstreams leave without naming their life, and to a host that never heard of them.
 std::uint64_t announcement_log::takeFarewell(const upstream_report &heard, steady_time now)
 {
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -1,5 +1,6 @@
 #include "core/text.h"
 #include "daemon/await_callback.h"
+#include "node/announcement_keeper.h"
 #include "node/node.h"
 #include "node_parts.h"
 #include "observe/log.h"
@@ -70,6 +71,9 @@
         }
         m_files = std::move(files.value());
         m_store = makeReplicaFileStore(*m_files);
+        m_announcementStore = makeAnnouncementFileStore(*m_files);
+        m_keeper = std::make_unique<announcement_keeper>(m_announcements, *m_announcementStore, m_clock);
+        m_keeper->start();
         m_replica = std::make_unique<replica_node>(replicaOptions(), *m_store, *this, *this, m_clock, m_random);
         const auto &listenAt = m_settings->rpc_listen().empty() ? m_settings->rpc() : m_settings->rpc_listen();
         auto server = makeGrpcControlServer(listenAt, nodeTls(), *this, &m_counters);
@@ -130,6 +134,7 @@
                       {"warmupLeftMs", static_cast<std::int64_t>(report.warmupLeft.count())},
                       {"sequence", report.reportedAt}});
             m_desk.serve();
+            m_keeper->wake();
         }
         if (state < upstream_state::draining) {
             co_return success();
@@ -137,9 +142,15 @@
         // Cut off from the log's leader, this host may be cut off from entry hosts as well.
         const auto required = knowsLeader() ? required_hosts::present : required_hosts::remembered;
         auto start = [this, position, required](std::function<void(bool)> done) { m_desk.confirm(position, required, confirmWait, std::move(done)); };
+        const auto latest = m_clock.now() + confirmWait;
         const bool known = co_await awaitCallback<bool>(start);
-        if (!known) {
-            logEvent(log_level::warning, "leaving-not-confirmed", {{"instance", instance.string()}});
+        auto keep = [this, position, latest](std::function<void(bool)> done) { m_keeper->confirm(position, latest, std::move(done)); };
+        bool kept = false;
+        if (known) {
+            kept = co_await awaitCallback<bool>(keep);
+        }
+        if (!kept) {
+            logEvent(log_level::warning, "leaving-not-confirmed", {{"instance", instance.string()}, {"known", known}});
             co_return make_error_code(errc::notConfirmed);
         }
         co_return success();
@@ -281,7 +292,9 @@
         asio::steady_timer timer(co_await asio::this_coro::executor);
         while (true) {
             const auto now = m_clock.now();
-            m_announcements.expire(now);
+            if (m_announcements.expire(now)) {
+                m_keeper->wake();
+            }
             m_hosts.expire(now);
             const auto view = m_replica->view();
             std::vector<std::string> members;
@@ -353,6 +366,8 @@
     metrics_page m_metricsHandler;
     std::unique_ptr<file_system> m_files;
     std::unique_ptr<replica_store> m_store;
+    std::unique_ptr<announcement_store> m_announcementStore;
+    std::unique_ptr<announcement_keeper> m_keeper;
     std::unique_ptr<replica_node> m_replica;
     std::unique_ptr<peer_server> m_server;
     std::unique_ptr<http_server> m_http;
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -189,6 +189,25 @@
     REQUIRE(hosts.allKnow(7, required_hosts::remembered, clock.now()));
 }
 
+TEST_CASE("announcements: what an earlier process knew is told again, and falls silent like all else", "[announcements]")
+{
+    manual_clock clock;
+    announcement_log former;
+    former.report(reportOf("a", 1, 5), clock.now());
+    former.report(reportOf("b", 1, 5, upstream_state::draining), clock.now());
+    announcement_log log({.silentAfter = milliseconds(4500)});
+    log.restore(former.changedAfter(0, clock.now()), clock.now());
+    const auto told = log.changedAfter(0, clock.now());
+    REQUIRE(told.size() == 2);
+    REQUIRE(told[1].state == upstream_state::draining);
+    // Sent before the restart.
+    log.report(reportOf("b", 1, 4), clock.now());
+    REQUIRE(log.changedAfter(0, clock.now())[1].state == upstream_state::draining);
+    clock.advance(milliseconds(4500));
+    REQUIRE(log.expire(clock.now()));
+    REQUIRE(log.changedAfter(0, clock.now()).front().silent);
+}
+
 namespace
 {
 
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -201,6 +201,27 @@
     REQUIRE(awaitCondition([&] { return bench.serves(1); }));
 }
 
+TEST_CASE("nodes: after a loss of power at all hosts the upstreams are known before they announce themselves again", "[integration][nodes]")
+{
+    node_bench bench;
+    INFO(bench.fleet.logs());
+    bench.upstreams.remove("n");
+    bench.upstreams.remove("s");
+    REQUIRE(awaitCondition([&] { return bench.fleet.leave(0, "s") == 200; }));
+    const std::vector<std::string> hosts {"control-0", "control-1", "control-2", "entry-0", "entry-1"};
+    for (const auto &host : hosts) {
+        bench.fleet.signal(host, SIGKILL);
+    }
+    for (const auto &host : hosts) {
+        bench.fleet.awaitExit(host);
+        bench.fleet.start(host);
+    }
+    const auto before = bench.south.requests();
+    REQUIRE(awaitCondition([&] { return bench.serves(0) && bench.serves(1); }));
+    // Its leaving was accepted: that lasts, too.
+    REQUIRE(bench.south.requests() == before);
+}
+
 TEST_CASE("nodes: a control host with an emptied disk is filled again and counts anew", "[integration][nodes]")
 {
     node_bench bench;
