--- a/soak/world.h
+++ b/soak/world.h
@@ -65,7 +65,19 @@
     void swapAddresses(const std::string &first, const std::string &second) override;
 
 private:
-    struct upstream;
+    struct upstream {
+        std::string instance;
+        std::string domain;
+        std::unique_ptr<testing::fault_proxy> link;
+        std::unique_ptr<testing::scripted_upstream> server;
+        std::uint64_t incarnation = testing::node_fleet::firstIncarnation;
+        std::uint64_t sequence = 0;
+        bool crashed = false;
+        bool leaving = false;
+        // Set by the answer to its leaving.
+        steady_time leftAt = steady_time::max();
+        std::atomic<unsigned> running {0};
+    };
 
     void announceAll();
     void announce(upstream &each);
