relay: a stopping entry host takes nothing in the last part of its grace

It took new connections for as long as any request was carried; with callers that keep coming that is until the end. Ruled out: the upstream (it was running the request), the caller's deadline. Test: the relay takes nothing more, answers what it carries, refuses the rest.

--- a/include/relay/relay_server.h
+++ b/include/relay/relay_server.h
@@ -58,6 +58,8 @@
     [[nodiscard]] virtual std::size_t activeRequests() const = 0;
     /// From now on each answer ends its connection. New connections are still taken.
     virtual void beginDrain() = 0;
+    /// From now on connections are not taken and requests on open ones are refused as not run; what is carried goes on.
+    virtual void endIntake() = 0;
     /// Ends the threads; what is under way is cut off.
     virtual void stop() = 0;
 };
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -157,7 +157,13 @@
         const auto latest = startedAt + std::max(grace - graceReserve, milliseconds(0));
         const auto earliest = std::min(startedAt + lifetimesStayed * milliseconds(deployment.lookup_ttl_ms()), latest);
         asio::steady_timer timer(co_await asio::this_coro::executor);
+        bool taking = true;
         while (m_clock.now() < latest && (m_clock.now() < earliest || m_relay->activeRequests() > 0)) {
+            if (taking && m_clock.now() >= earliest) {
+                // What is carried now has the rest of the grace.
+                m_relay->endIntake();
+                taking = false;
+            }
             timer.expires_after(drainTick);
             co_await timer.async_wait(noThrow);
         }
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <thread>
@@ -125,6 +126,15 @@
         m_state.draining = true;
     }
 
+    void endIntake() override
+    {
+        m_state.closed = true;
+        asio::post(m_workers.front()->context, [this] {
+            error_code ignored;
+            m_acceptor->close(ignored);
+        });
+    }
+
     void stop() override
     {
         for (auto &worker : m_workers) {
@@ -145,6 +155,9 @@
         while (true) {
             auto &worker = *m_workers[turn++ % m_workers.size()];
             auto [failed, socket] = co_await m_acceptor->async_accept(worker.context, noThrow);
+            if (m_state.closed) {
+                co_return;
+            }
             if (failed) {
                 logBounded(log_level::warning, "accept-failed", {errorField(failed)});
                 pause.expires_after(acceptPause);
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -172,7 +172,7 @@
         return {.status = 400, .error = errc::malformedRequest};
     }
     call.routes = m_parts.routes.get();
-    if (!call.routes) {
+    if (!call.routes || m_state.closed) {
         return {.status = 503, .error = errc::notReady, .retryAfter = notReadyRetry};
     }
     const auto head = m_parts.dialect.readCall(beast_header(request));
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -20,6 +20,8 @@
 /// Counters of a relay, shared by its sessions.
 struct relay_state {
     std::atomic<bool> draining {false};
+    // Requests are no longer taken.
+    std::atomic<bool> closed {false};
     std::atomic<std::size_t> connections {0};
     std::atomic<std::size_t> active {0};
 };
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
+#include <future>
 #include <thread>
 
 using namespace hornbeampick;
@@ -136,6 +137,23 @@
     boost::beast::flat_buffer m_buffer;
 };
 
+// Until a connection to the relay is refused; false when it never is.
+bool awaitRefusal(const relay_bench &bench)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (std::chrono::steady_clock::now() < end) {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        boost::system::error_code error;
+        socket.connect({asio::ip::address_v4::loopback(), bench.server->port()}, error);
+        if (error == asio::error::connection_refused) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return false;
+}
+
 bool echo(const received_request &request, scripted_upstream::socket &to)
 {
     scripted_upstream::write(to, scripted_upstream::answer(request, "from " + request.line()));
@@ -489,6 +507,40 @@
     REQUIRE(late.ask("GET", "/once/3").result_int() == 200);
 }
 
+TEST_CASE("relay: once it takes no more, what is carried is answered, and all else is refused as not run", "[relay]")
+{
+    std::promise<void> reached;
+    std::promise<void> released;
+    scripted_upstream upstream([&](const received_request &request, scripted_upstream::socket &to) {
+        if (request.line().find("/once/slow") != std::string::npos) {
+            reached.set_value();
+            released.get_future().wait();
+        }
+        return echo(request, to);
+    });
+    relay_bench bench({&upstream});
+    caller kept(bench);
+    REQUIRE(kept.ask("GET", "/once/1").result_int() == 200);
+    unsigned slow = 0;
+    std::thread carried([&] {
+        caller client(bench);
+        slow = client.ask("GET", "/once/slow").result_int();
+    });
+    reached.get_future().wait();
+    bench.server->beginDrain();
+    bench.server->endIntake();
+    const auto refused = kept.ask("GET", "/once/2");
+    REQUIRE(refused.result_int() == 503);
+    REQUIRE_FALSE(refused.keep_alive());
+    REQUIRE_FALSE(refused["Retry-After"].empty());
+    // The listening socket is closed by the relay's own thread.
+    REQUIRE(awaitRefusal(bench));
+    released.set_value();
+    carried.join();
+    REQUIRE(slow == 200);
+    REQUIRE(upstream.requests() == 2);
+}
+
 TEST_CASE("relay: a request that upstreams die of goes to none after the third", "[relay]")
 {
     relay_bench bench;
