relay: log the requests that are aborted when an entry host ends

`drained` counts the requests in progress and names none, so the log cannot tell a request that was taken too late from one that got past the refusal or was taken after the drain. `request-aborted` gives the times of each, relative to the start of the drain.

--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -33,6 +33,8 @@
 
 // A thread with its own connections to callers and its own pool of upstream connections.
 struct relay_worker {
+    // Outlives the context, whose pending sessions remove their requests when they are destroyed.
+    active_requests requests;
     asio::io_context context {1};
     asio::executor_work_guard<asio::io_context::executor_type> work {context.get_executor()};
     upstream_connection_pool pool;
@@ -123,6 +125,7 @@
 
     void beginDrain() override
     {
+        m_drainBeganAt = m_parts.clock.now();
         m_state.draining = true;
     }
 
@@ -145,9 +148,31 @@
                 worker->thread.join();
             }
         }
+        for (auto &worker : m_workers) {
+            for (const auto *each : worker->requests.takeAll()) {
+                logAborted(*each);
+            }
+        }
     }
 
 private:
+    // Times are relative to the start of the drain, negative before it.
+    void logAborted(const request_context &request) const
+    {
+        if (request.arrivedAt == steady_time {}) {
+            return;
+        }
+        const auto sinceDrain
+            = [this](steady_time at) { return static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(at - m_drainBeganAt).count()); };
+        logEvent(log_level::warning, "request-aborted",
+                 {{"request", request.id},
+                  {"service", request.service.string()},
+                  {"takenMs", sinceDrain(request.arrivedAt)},
+                  {"sentMs", request.attemptsSent > 0 ? sinceDrain(request.lastSentAt) : 0},
+                  {"deadlineMs", request.matched != nullptr ? sinceDrain(request.deadline) : 0},
+                  {"attempts", static_cast<std::int64_t>(request.attemptsSent)}});
+    }
+
     asio::awaitable<void> acceptLoop()
     {
         asio::steady_timer retryTimer(co_await asio::this_coro::executor);
@@ -165,7 +190,7 @@
                 continue;
             }
             ++m_state.connections;
-            auto session = std::make_shared<relay_session>(std::move(socket), m_parts, m_state, worker.pool);
+            auto session = std::make_shared<relay_session>(std::move(socket), m_parts, m_state, worker.pool, worker.requests);
             asio::co_spawn(worker.context, runSession(std::move(session), m_state), asio::detached);
             while (m_state.connections >= m_options.maxConnections) {
                 retryTimer.expires_after(acceptRetryDelay);
@@ -177,6 +202,7 @@
     relay_options m_options;
     relay_parts m_parts;
     relay_state m_state;
+    steady_time m_drainBeganAt {};
     std::vector<std::unique_ptr<relay_worker>> m_workers;
     std::unique_ptr<tcp::acceptor> m_acceptor;
     std::uint16_t m_port = 0;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -35,17 +35,21 @@
 // A request with less time left than this is not retried: no upstream responds that fast.
 constexpr milliseconds minRetryTime {20};
 
-// Counts a request as active for the lifetime of the guard.
+// Counts and lists a request as active for the lifetime of the guard.
 class active_request_guard
 {
 public:
-    explicit active_request_guard(std::atomic<std::size_t> &count)
+    active_request_guard(std::atomic<std::size_t> &count, active_requests &requests, const request_context &context)
         : m_count(count)
+        , m_requests(requests)
+        , m_context(context)
     {
         ++m_count;
+        m_requests.add(m_context);
     }
     ~active_request_guard()
     {
+        m_requests.remove(m_context);
         --m_count;
     }
     active_request_guard(const active_request_guard &) = delete;
@@ -53,6 +57,8 @@
 
 private:
     std::atomic<std::size_t> &m_count;
+    active_requests &m_requests;
+    const request_context &m_context;
 };
 
 std::string formatSeconds(milliseconds duration)
@@ -80,11 +86,12 @@
 
 } // namespace
 
-relay_session::relay_session(tcp::socket socket, const relay_parts &parts, relay_state &state, upstream_connection_pool &pool)
+relay_session::relay_session(tcp::socket socket, const relay_parts &parts, relay_state &state, upstream_connection_pool &pool, active_requests &requests)
     : m_stream(std::move(socket))
     , m_parts(parts)
     , m_state(state)
     , m_pool(pool)
+    , m_requests(requests)
 {
 }
 
@@ -123,7 +130,7 @@
         }
         m_buffer.commit(count);
     }
-    const active_request_guard active(m_state.active);
+    const active_request_guard active(m_state.active, m_requests, context);
     m_stream.expires_after(allowed.headerTimeout);
     const auto [failed, count] = co_await http::async_read_header(m_stream, m_buffer, context.parser, noThrow);
     if (failed == http::error::end_of_stream || failed == http::error::partial_message || failed == beast::error::timeout) {
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "active_requests.h"
 #include "relay/relay_server.h"
 #include "request_context.h"
 #include "upstream_attempt.h"
@@ -40,7 +41,8 @@
 class relay_session : public std::enable_shared_from_this<relay_session>
 {
 public:
-    relay_session(boost::asio::ip::tcp::socket socket, const relay_parts &parts, relay_state &state, upstream_connection_pool &pool);
+    /// `pool` and `requests` belong to the thread of the socket's executor. All references must outlive the session.
+    relay_session(boost::asio::ip::tcp::socket socket, const relay_parts &parts, relay_state &state, upstream_connection_pool &pool, active_requests &requests);
 
     boost::asio::awaitable<void> run();
 
@@ -72,6 +74,7 @@
     relay_parts m_parts;
     relay_state &m_state;
     upstream_connection_pool &m_pool;
+    active_requests &m_requests;
     // The attempt in progress that is cancelled when the caller disconnects; null when there is none.
     upstream_attempt *m_cancellableAttempt = nullptr;
     bool m_watchingCaller = false;
--- a/src/relay/request_context.h
+++ b/src/relay/request_context.h
@@ -36,6 +36,8 @@
     std::vector<instance_name> tried;
     // Number of attempts that connected to an upstream and sent the request.
     std::uint32_t attemptsSent = 0;
+    // When the latest of these attempts began to send.
+    steady_time lastSentAt {};
     // Part of the body has been streamed to an upstream and is no longer buffered, so the request cannot be retried.
     bool isBodyStreamed = false;
     // An upstream may have executed the request.
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -86,6 +86,7 @@
     }
     outcome.mayHaveRun = true;
     ++context.attemptsSent;
+    context.lastSentAt = m_parts.clock.now();
     m_connection->stream.expires_at(context.deadline + responseGrace);
     if (co_await sendRequest(context, grant, outcome)) {
         co_await readResponse(context, grant, outcome);
