nodes: a failing test of requests that a stopping entry host gives up

With an upstream that runs a request for 2.5 s, requests sent on kept connections 3.4 and 3.7 s after SIGTERM get no answer: the host takes them, passes them on and ends at 5.4 s.

--- a/tests/fakes/node_fleet.cpp
+++ b/tests/fakes/node_fleet.cpp
@@ -248,7 +248,7 @@
     } else {
         text << "front: '" << front(number) << "'\nreadiness: '" << readiness(number) << "'\n";
     }
-    text << "failureDomains:\n";
+    text << "deployment:\n  lookupTtlMs: " << m_options.lookupLifetime.count() << "\nfailureDomains:\n";
     for (const auto *domain : {"north-a", "north-b", "south-a", "south-b"}) {
         text << "  - {failureDomain: " << domain << ", region: " << std::string(domain).substr(0, 5) << "}\n";
     }
--- a/tests/fakes/node_fleet.h
+++ b/tests/fakes/node_fleet.h
@@ -3,6 +3,7 @@
 #include "fakes/fault_proxy.h"
 
 #include <boost/process/child.hpp>
+#include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <functional>
@@ -32,6 +33,8 @@
     bool proxies = false;
     // Library for LD_PRELOAD in every process, with HORNBEAMPICK_FAULTS set to that process's fault file; empty for none.
     std::string preload {};
+    // Lifetime of callers' look-ups.
+    std::chrono::milliseconds lookupLifetime {1000};
 };
 
 /// Control and entry host processes, each on its own loopback address with the same ports, in two regions of two failure domains each.
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -4,6 +4,10 @@
 #include "fakes/scripted_upstream.h"
 
 #include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <thread>
@@ -13,12 +17,49 @@
 namespace
 {
 
+// Runs requests whose path contains "slow" for this long.
+constexpr std::chrono::milliseconds slowRunTime {2500};
+
 bool echo(const received_request &request, scripted_upstream::socket &to)
 {
+    if (request.line().find("slow") != std::string::npos) {
+        std::this_thread::sleep_for(slowRunTime);
+    }
     scripted_upstream::write(to, scripted_upstream::answer(request, "from " + request.line()));
     return true;
 }
 
+// A connection of a caller that stays open between requests.
+class kept_connection
+{
+public:
+    explicit kept_connection(const std::string &address)
+        : m_socket(m_context)
+    {
+        const auto colon = address.rfind(':');
+        m_socket.connect({boost::asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))});
+    }
+
+    // Returns the status of the answer; 0 when the connection ends without one.
+    unsigned send(const std::string &target, int deadlineMs)
+    {
+        namespace http = boost::beast::http;
+        boost::system::error_code error;
+        boost::asio::write(m_socket,
+                           boost::asio::buffer("GET " + target + " HTTP/1.1\r\nHost: x\r\nRequest-Id: id" + target
+                                               + "\r\nDeadline-Ms: " + std::to_string(deadlineMs) + "\r\n\r\n"),
+                           error);
+        http::response<http::string_body> answer;
+        http::read(m_socket, m_buffer, answer, error);
+        return error ? 0 : answer.result_int();
+    }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+};
+
 // Sends the heartbeats of all upstreams periodically, each to the first control host that accepts it, as real instances do.
 class heartbeat_sender
 {
@@ -89,10 +130,11 @@
 
     scripted_upstream north {echo};
     scripted_upstream south {echo};
-    node_fleet fleet {controlHosts, 2};
+    node_fleet fleet;
     heartbeat_sender upstreams {fleet, controlHosts};
 
-    node_fixture()
+    explicit node_fixture(std::chrono::milliseconds lookupLifetime = std::chrono::milliseconds(1000))
+        : fleet(node_fleet_options {.controlHosts = controlHosts, .entryHosts = 2, .lookupLifetime = lookupLifetime})
     {
         fleet.startAll();
         upstreams.add("n", north.address(), "north-a");
@@ -305,6 +347,60 @@
     REQUIRE(std::chrono::steady_clock::now() - startedAt < std::chrono::seconds(6));
 }
 
+// A draining entry host took requests whose deadline lay beyond its own end, and ended while they ran.
+TEST_CASE("nodes: a stopping entry host answers every request that it passes on", "[integration][nodes]")
+{
+    using std::chrono::milliseconds;
+    node_fixture fixture(milliseconds(2000));
+    INFO(fixture.fleet.logs());
+    struct planned_request {
+        milliseconds sentAfterStop;
+        std::string target;
+        int deadlineMs;
+    };
+    const std::vector<planned_request> plan {
+        {milliseconds(300), "/once/slow-1", 3000},  {milliseconds(1500), "/once/slow-2", 3000}, {milliseconds(2700), "/once/slow-3", 3000},
+        {milliseconds(3400), "/once/slow-4", 3000}, {milliseconds(3700), "/once/slow-5", 3000}, {milliseconds(3000), "/once/short", 1000},
+    };
+    struct outcome {
+        unsigned status = 0;
+        std::chrono::steady_clock::duration took {};
+    };
+    std::vector<outcome> outcomes(plan.size());
+    std::vector<std::unique_ptr<kept_connection>> connections;
+    for (std::size_t i = 0; i < plan.size(); ++i) {
+        connections.push_back(std::make_unique<kept_connection>(fixture.fleet.front(0)));
+        REQUIRE(connections.back()->send("/once/before-" + std::to_string(i), 3000) == 200);
+    }
+    const auto passedOnBefore = fixture.north.requests() + fixture.south.requests();
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    fixture.fleet.signal("entry-0", SIGTERM);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < plan.size(); ++i) {
+        callers.emplace_back([&, i] {
+            std::this_thread::sleep_until(stoppedAt + plan[i].sentAfterStop);
+            const auto sentAt = std::chrono::steady_clock::now();
+            outcomes[i].status = connections[i]->send(plan[i].target, plan[i].deadlineMs);
+            outcomes[i].took = std::chrono::steady_clock::now() - sentAt;
+        });
+    }
+    for (auto &each : callers) {
+        each.join();
+    }
+    REQUIRE(fixture.fleet.awaitExit("entry-0") == 0);
+    REQUIRE(std::chrono::steady_clock::now() - stoppedAt < std::chrono::seconds(6));
+    std::size_t served = 0;
+    for (std::size_t i = 0; i < plan.size(); ++i) {
+        CAPTURE(plan[i].target, outcomes[i].status);
+        // A request that cannot finish in time is refused at once, so that the caller can go elsewhere.
+        REQUIRE((outcomes[i].status == 200 || (outcomes[i].status == 503 && outcomes[i].took < milliseconds(1000))));
+        served += outcomes[i].status == 200 ? 1 : 0;
+    }
+    REQUIRE(outcomes.front().status == 200);
+    REQUIRE(outcomes.back().status == 200);
+    REQUIRE(fixture.north.requests() + fixture.south.requests() - passedOnBefore == served);
+}
+
 TEST_CASE("nodes: a control host that is stopped hands over, and orders go on", "[integration][nodes]")
 {
     node_fixture fixture;
