relay: a draining host takes only requests that end before it does

What callers saw: a request sent up to 4 s after SIGTERM was taken, passed on to an upstream and given up when the process ended at 5.4 s: the connection closed without an answer, and a request that may run once could not be repeated. Cause: until look-ups had expired the draining host took any request, whatever its deadline; requests that had waited for a connection were passed on even later. Between the last look at the number of requests in progress and the end of the relay's threads it still took some. Class: work is accepted without regard to whether the host lives long enough to finish it. Change: drain_schedule decides before each attempt. In the first half of the grace period everything may start, in the second only what has its deadline before the end; the rest gets 503 at once, not run. The relay stops accepting before the number of requests in progress is looked at for the last time.

--- a/include/relay/relay_server.h
+++ b/include/relay/relay_server.h
@@ -7,6 +7,7 @@
 #include "relay/header_codec.h"
 #include "rules/routing_table.h"
 #include "steering/dispatcher.h"
+#include "steering/drain_schedule.h"
 #include "steering/poison_registry.h"
 #include "steering/retry_budget.h"
 
@@ -56,8 +57,9 @@
     [[nodiscard]] virtual std::uint16_t port() const = 0;
     /// Returns the number of requests in progress.
     [[nodiscard]] virtual std::size_t activeRequests() const = 0;
-    /// Starts draining: every response from now on closes its connection. New connections are still accepted.
-    virtual void beginDrain() = 0;
+    /// Starts draining: every response from now on closes its connection, and requests that the schedule does not allow are refused as
+    /// not executed. New connections are still accepted. Must be called at most once.
+    virtual void beginDrain(const drain_schedule &schedule) = 0;
     /// Closes the listening socket and refuses new requests on open connections as not executed. Requests in progress continue.
     virtual void stopAccepting() = 0;
     /// Stops the threads. Requests in progress are aborted.
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -26,10 +26,6 @@
 constexpr auto noThrow = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t maxRequestBodyBytes = 65536;
 constexpr milliseconds drainPollInterval {20};
-// Part of the shutdown grace period that draining leaves unused, so that the process exits before it is killed.
-constexpr milliseconds exitReserve {600};
-// Callers cache look-ups for their lifetime, some of them longer. While draining, new connections are accepted for this many lifetimes.
-constexpr int lookupLifetimesAccepted = 2;
 constexpr milliseconds quarantineExpiryInterval {1000};
 // The settings file may change without a SIGHUP, so that it is also polled.
 constexpr milliseconds reloadInterval {5000};
@@ -144,27 +140,23 @@
         co_await drain();
     }
 
-    // Shuts down gracefully: first the host is removed from look-ups, then requests in progress finish. New connections are accepted
-    // until callers' cached look-ups have expired.
+    // Shuts down gracefully: first the host is removed from look-ups, then it stops taking requests, then those in progress finish.
     asio::awaitable<void> drain()
     {
         const auto startedAt = m_clock.now();
         m_stopping = true;
         logEvent(log_level::info, "stopping", {{"active", static_cast<std::int64_t>(m_relay->activeRequests())}});
         m_controlWatch.setServing(false);
-        m_relay->beginDrain();
         const auto &deployment = m_settings->deployment();
-        const auto grace = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(deployment.grace_s()));
-        const auto deadline = startedAt + std::max(grace - exitReserve, milliseconds(0));
-        const auto acceptUntil = std::min(startedAt + lookupLifetimesAccepted * milliseconds(deployment.lookup_ttl_ms()), deadline);
-        asio::steady_timer timer(co_await asio::this_coro::executor);
-        bool accepting = true;
-        while (m_clock.now() < deadline && (m_clock.now() < acceptUntil || m_relay->activeRequests() > 0)) {
-            if (accepting && m_clock.now() >= acceptUntil) {
-                // Requests in progress have the rest of the grace period to finish.
-                m_relay->stopAccepting();
-                accepting = false;
-            }
+        const drain_schedule schedule({.grace = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(deployment.grace_s())),
+                                       .lookupLifetime = milliseconds(deployment.lookup_ttl_ms())},
+                                      startedAt);
+        m_relay->beginDrain(schedule);
+        asio::steady_timer timer(co_await asio::this_coro::executor, schedule.acceptUntil());
+        co_await timer.async_wait(noThrow);
+        // From here on no further request is passed on, so that none is cut off between the last look at their number and the end.
+        m_relay->stopAccepting();
+        while (m_clock.now() < schedule.end() && m_relay->activeRequests() > 0) {
             timer.expires_after(drainPollInterval);
             co_await timer.async_wait(noThrow);
         }
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -123,10 +123,10 @@
         return m_state.active;
     }
 
-    void beginDrain() override
+    void beginDrain(const drain_schedule &schedule) override
     {
         m_drainBeganAt = m_parts.clock.now();
-        m_state.draining = true;
+        m_state.drain.set(std::make_shared<const drain_schedule>(schedule));
     }
 
     void stopAccepting() override
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -32,6 +32,8 @@
 constexpr std::uint32_t maxConnectFailures = 3;
 // Retry-After when no routes are known yet: about the time in which a host learns them.
 constexpr milliseconds notReadyRetryAfter {500};
+// Retry-After of a draining host: other hosts can take the request at once.
+constexpr milliseconds stoppingRetryAfter {10};
 // A request with less time left than this is not retried: no upstream responds that fast.
 constexpr milliseconds minRetryTime {20};
 
@@ -179,7 +181,10 @@
         return {.status = 400, .error = errc::malformedRequest};
     }
     context.routes = m_parts.routes.get();
-    if (!context.routes || m_state.refusing) {
+    if (m_state.refusing) {
+        return {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter};
+    }
+    if (!context.routes) {
         return {.status = 503, .error = errc::notReady, .retryAfter = notReadyRetryAfter};
     }
     const auto metadata = m_parts.headerCodec.decodeRequest(beast_header_view(request));
@@ -238,6 +243,12 @@
     upstream_attempt attempt(m_parts, m_pool, m_stream, m_buffer);
     while (true) {
         const auto now = m_parts.clock.now();
+        if (!mayStartAttempt(context, now)) {
+            if (outcome.response || context.mayHaveRun) {
+                break;
+            }
+            co_return co_await sendLocalResponse(&context, {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter});
+        }
         const bool isRetry = context.attemptsSent > 0;
         if (isRetry && !m_parts.retries.take(context.service)) {
             break;
@@ -290,6 +301,13 @@
     co_return co_await sendResponse(context, outcome, *lastGrant, attempt);
 }
 
+// Returns false when this host drains and could end before the request does.
+bool relay_session::mayStartAttempt(const request_context &context, steady_time now) const
+{
+    const auto schedule = m_state.drain.get();
+    return !schedule || schedule->mayStart(now, context.deadline);
+}
+
 bool relay_session::mayRetry(const request_context &context, const attempt_outcome &outcome)
 {
     if (context.isBodyStreamed || context.attemptsSent >= context.matched->attempts || context.remaining(m_parts.clock.now()) < minRetryTime) {
@@ -450,7 +468,7 @@
 
 bool relay_session::isKeepAlive(const request_context &context) const
 {
-    return context.parser.is_done() && context.parser.keep_alive() && !m_state.draining && !m_callerLeft;
+    return context.parser.is_done() && context.parser.keep_alive() && !m_state.drain.get() && !m_callerLeft;
 }
 
 asio::awaitable<bool> relay_session::write(std::string_view head, std::string_view body)
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -20,7 +20,8 @@
 
 /// State of a relay that its sessions share.
 struct relay_state {
-    std::atomic<bool> draining {false};
+    // Null until the drain begins.
+    published<drain_schedule> drain;
     // New requests are refused.
     std::atomic<bool> refusing {false};
     std::atomic<std::size_t> connections {0};
@@ -54,6 +55,7 @@
     boost::asio::awaitable<bool> tryUpstreams(request_context &context);
     [[nodiscard]] local_response matchRoute(request_context &context) const;
     [[nodiscard]] dispatch_result chooseUpstream(const request_context &context, steady_time now);
+    [[nodiscard]] bool mayStartAttempt(const request_context &context, steady_time now) const;
     [[nodiscard]] bool mayRetry(const request_context &context, const attempt_outcome &outcome);
     void logFailure(const request_context &context, const dispatch_grant &grant, const attempt_outcome &outcome) const;
     void reportDeath(const request_context &context, const dispatch_grant &grant);
--- /dev/null
+++ b/src/steering/drain_schedule.cpp
@@ -0,0 +1,28 @@
+#include "steering/drain_schedule.h"
+
+#include <algorithm>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+// Part of the grace period that the drain leaves unused, so that the process exits before it is killed.
+constexpr milliseconds exitReserve {600};
+// Time for the response to a request that ends at its deadline.
+constexpr milliseconds responseReserve {200};
+// Some callers cache look-ups for longer than their lifetime. New connections are accepted for this many lifetimes.
+constexpr int lookupLifetimesAccepted = 2;
+
+} // namespace
+
+drain_schedule::drain_schedule(const drain_options &options, steady_time startedAt)
+    : m_end(startedAt + std::max(options.grace - exitReserve, milliseconds(0)))
+    , m_acceptUntil(std::min(startedAt + lookupLifetimesAccepted * options.lookupLifetime, m_end))
+    , m_halftime(std::min(startedAt + options.grace / 2, m_end))
+    , m_lastDeadline(m_end - responseReserve)
+{
+}
+
+} // namespace hornbeampick
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -499,7 +499,7 @@
     relay_fixture fixture({&upstream});
     caller kept(fixture);
     REQUIRE(kept.exchange("GET", "/once/1").keep_alive());
-    fixture.server->beginDrain();
+    fixture.server->beginDrain({{.grace = milliseconds(6000)}, fixture.clock.now()});
     const auto last = kept.exchange("GET", "/once/2");
     REQUIRE(last.result_int() == 200);
     REQUIRE_FALSE(last.keep_alive());
@@ -507,6 +507,22 @@
     REQUIRE(late.exchange("GET", "/once/3").result_int() == 200);
 }
 
+TEST_CASE("relay: a draining host refuses at once a request that could outlive it", "[relay]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture fixture({&upstream});
+    caller client(fixture);
+    // The route's timeout is 3 s, and the host, whose drain began 1.3 s ago, ends in 0.7 s.
+    fixture.server->beginDrain({{.grace = milliseconds(2600)}, fixture.clock.now() - milliseconds(1300)});
+    const auto refused = client.exchange("POST", "/once/1", "", "x");
+    REQUIRE(refused.result_int() == 503);
+    REQUIRE_FALSE(refused.keep_alive());
+    REQUIRE(upstream.requests() == 0);
+    caller next(fixture);
+    REQUIRE(next.exchange("POST", "/short/1", "", "x").result_int() == 200);
+    REQUIRE(upstream.requests() == 1);
+}
+
 TEST_CASE("relay: once it takes no more, what is carried is answered, and all else is refused as not run", "[relay]")
 {
     std::promise<void> reached;
@@ -527,7 +543,7 @@
         slow = client.exchange("GET", "/once/slow").result_int();
     });
     reached.get_future().wait();
-    fixture.server->beginDrain();
+    fixture.server->beginDrain({{.grace = milliseconds(6000)}, fixture.clock.now()});
     fixture.server->stopAccepting();
     const auto refused = kept.exchange("GET", "/once/2");
     REQUIRE(refused.result_int() == 503);
