http: a draining server refuses what arrives on connections that are still open

A request that arrived on a kept connection in between was handled and cut off at the end, so its caller got no answer. Now a request that arrives after the drain began is refused as not run.

--- a/include/http/http_server.h
+++ b/include/http/http_server.h
@@ -45,7 +45,7 @@
     virtual boost::asio::awaitable<http_response> handle(http_request request) = 0;
     /// Returns true when the request may be abandoned once its caller has disconnected.
     [[nodiscard]] virtual bool mayAbandon(const http_request &request) const = 0;
-    /// Returns the response to input that is not a valid request; `error` tells the reason.
+    /// Returns the response to input that is not a valid request or, with `stopping`, to a request that arrives while the server drains.
     [[nodiscard]] virtual http_response makeErrorResponse(errc error) const = 0;
 };
 
@@ -74,7 +74,7 @@
     [[nodiscard]] virtual std::size_t openConnections() const = 0;
     /// Returns the number of requests that are being handled.
     [[nodiscard]] virtual std::size_t activeRequests() const = 0;
-    /// Stops accepting connections; open ones are closed after their current request.
+    /// Stops accepting connections; open ones are closed after their current request, and further requests on them are refused.
     virtual void drain() = 0;
 };
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -146,6 +146,11 @@
         }
         m_stream.expires_never();
         const scoped_count active(m_state->active);
+        if (m_state->draining) {
+            // The owner may have looked at the number of active requests for the last time.
+            co_await write(m_handler.makeErrorResponse(errc::stopping), false);
+            co_return false;
+        }
         auto response = co_await runHandler(std::move(request));
         if (!response) {
             co_return false;
--- a/src/node/node_common.cpp
+++ b/src/node/node_common.cpp
@@ -34,7 +34,7 @@
 
 http_response metrics_handler::makeErrorResponse(errc error) const
 {
-    return {.status = 400, .headers = {}, .body = std::string(errorCode(error)), .contentType = "text/plain"};
+    return {.status = error == errc::stopping ? 503U : 400U, .headers = {}, .body = std::string(errorCode(error)), .contentType = "text/plain"};
 }
 
 result<std::unique_ptr<http_server>> startHttpServer(const std::string &address, boost::asio::io_context &context, http_handler &handler,
--- /dev/null
+++ b/tests/http/http_server_test.cpp
@@ -0,0 +1,73 @@
+// Tests the HTTP server over real sockets, with a mock of the handler.
+
+#include "http/http_server.h"
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace hornbeampick;
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+class handler_mock final : public http_handler
+{
+public:
+    std::atomic<int> handled {0};
+
+    asio::awaitable<http_response> handle(http_request) override
+    {
+        ++handled;
+        co_return http_response {};
+    }
+    [[nodiscard]] bool mayAbandon(const http_request &) const override
+    {
+        return false;
+    }
+    [[nodiscard]] http_response makeErrorResponse(errc error) const override
+    {
+        return {.status = error == errc::stopping ? 503U : 400U, .headers = {}, .body = {}};
+    }
+};
+
+} // namespace
+
+// A request on a kept connection was handled after the last look at the number of requests in progress, and cut off at the end.
+TEST_CASE("http_server: a draining server refuses what arrives on connections that are still open", "[http][drain]")
+{
+    handler_mock handler;
+    asio::io_context context;
+    auto server = makeHttpServer({.address = "127.0.0.1"}, context, handler);
+    REQUIRE(server);
+    std::thread thread([&] { context.run(); });
+    asio::io_context callerContext;
+    asio::ip::tcp::socket socket(callerContext);
+    socket.connect({asio::ip::address_v4::loopback(), server.value()->port()});
+    boost::beast::flat_buffer buffer;
+    // Returns the status of the answer; 0 when the connection ends without one.
+    const auto exchange = [&] {
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")), error);
+        http::response<http::string_body> answer;
+        http::read(socket, buffer, answer, error);
+        return error ? 0 : answer.result_int();
+    };
+    const auto before = exchange();
+    // The connection waits for its next request.
+    std::this_thread::sleep_for(milliseconds(200));
+    server.value()->drain();
+    const auto after = exchange();
+    context.stop();
+    thread.join();
+    REQUIRE(before == 200);
+    REQUIRE((after == 503 || after == 0));
+    REQUIRE(handler.handled == 1);
+}
