--- a/soak/fault_block.h
+++ b/soak/fault_block.h
@@ -12,6 +12,8 @@
     std::int64_t syncDelayMs = 0;
     // If not 0, writes to regular files and file syncs fail with ENOSPC.
     std::int64_t diskFull = 0;
+    // If not 0, new connections to 127.0.0.1, where upstreams listen, are refused. Open ones go on.
+    std::int64_t upstreamsUnreachable = 0;
 };
 
 } // namespace hornbeampick::soak
--- a/soak/fault_shim.cpp
+++ b/soak/fault_shim.cpp
@@ -1,4 +1,4 @@
-// Library for LD_PRELOAD that injects storage and clock faults into a process, as set in the file named by HORNBEAMPICK_FAULTS.
+// Library for LD_PRELOAD that injects storage, clock and network faults into a process, as set in the file named by HORNBEAMPICK_FAULTS.
 
 #include "fault_block.h"
 
@@ -6,7 +6,9 @@
 #include <cstdlib>
 #include <dlfcn.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <sys/mman.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
@@ -100,3 +102,15 @@
     }
     return result;
 }
+
+extern "C" int connect(int socket, const sockaddr *address, socklen_t length)
+{
+    static const auto real = next<int (*)(int, const sockaddr *, socklen_t)>("connect");
+    const auto *faults = block();
+    if (faults != nullptr && faults->upstreamsUnreachable != 0 && address->sa_family == AF_INET
+        && reinterpret_cast<const sockaddr_in *>(address)->sin_addr.s_addr == htonl(INADDR_LOOPBACK)) {
+        errno = ECONNREFUSED;
+        return -1;
+    }
+    return real(socket, address, length);
+}
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fakes/node_fleet.h"
 #include "fakes/scripted_upstream.h"
+#include "soak/fault_block.h"
 
 #include <atomic>
 #include <boost/asio/connect.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <fstream>
 #include <thread>
 
 using namespace hornbeampick::testing;
@@ -133,8 +135,8 @@
     node_fleet fleet;
     heartbeat_sender upstreams {fleet, controlHosts};
 
-    explicit node_fixture(std::chrono::milliseconds lookupLifetime = std::chrono::milliseconds(1000))
-        : fleet(node_fleet_options {.controlHosts = controlHosts, .entryHosts = 2, .lookupLifetime = lookupLifetime})
+    explicit node_fixture(const node_fleet_options &options = {.controlHosts = controlHosts, .entryHosts = 2})
+        : fleet(options)
     {
         fleet.startAll();
         upstreams.add("n", north.address(), "north-a");
@@ -158,6 +160,21 @@
         return send(entry, target).status == 200;
     }
 
+    // Sets whether new connections of an entry host to upstreams are refused. Requires the fault library.
+    void setUpstreamsUnreachable(std::size_t entry, bool unreachable) const
+    {
+        const hornbeampick::soak::fault_block block {.upstreamsUnreachable = unreachable ? 1 : 0};
+        std::ofstream file(fleet.faultFileOf("entry-" + std::to_string(entry)), std::ios::binary | std::ios::in | std::ios::out);
+        file.write(reinterpret_cast<const char *>(&block), sizeof(block));
+    }
+
+    // Returns true when look-ups of callers in the region of an entry host name that host.
+    bool isNamed(std::size_t entry) const
+    {
+        const auto region = node_fleet::regionOf(entry);
+        return callHttp(fleet.directory(1), "GET", "/-/resolve?name=x&region=" + region).body.find(fleet.front(entry)) != std::string::npos;
+    }
+
     std::string readConfiguration() const
     {
         for (std::size_t host = 0; host < controlHosts; ++host) {
@@ -351,7 +368,7 @@
 TEST_CASE("nodes: a stopping entry host answers every request that it passes on", "[integration][nodes]")
 {
     using std::chrono::milliseconds;
-    node_fixture fixture(milliseconds(2000));
+    node_fixture fixture({.controlHosts = node_fixture::controlHosts, .entryHosts = 2, .lookupLifetime = milliseconds(2000)});
     INFO(fixture.fleet.logs());
     struct planned_request {
         milliseconds sentAfterStop;
@@ -401,6 +418,34 @@
     REQUIRE(fixture.north.requests() + fixture.south.requests() - passedOnBefore == served);
 }
 
+// An entry host without a path to any upstream tried them one after another, and its callers got 503.
+TEST_CASE("nodes: an entry host that is cut off from all upstreams serves through another one", "[integration][nodes]")
+{
+    node_fixture fixture({.controlHosts = node_fixture::controlHosts, .entryHosts = 2, .preload = HORNBEAMPICK_FAULT_LIBRARY});
+    INFO(fixture.fleet.logs());
+    REQUIRE(fixture.isNamed(0));
+    fixture.setUpstreamsUnreachable(0, true);
+    // Callers' first tries must succeed again within the specified time, here with three seconds.
+    const auto cutAt = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - cutAt < std::chrono::milliseconds(2500)) {
+        fixture.send(0);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    const auto before = fixture.north.requests() + fixture.south.requests();
+    constexpr int tries = 40;
+    int served = 0;
+    for (int i = 0; i < tries; ++i) {
+        served += fixture.serves(0, (i % 2 == 0 ? "/once/" : "/retry/") + std::to_string(i)) ? 1 : 0;
+    }
+    REQUIRE(served == tries);
+    REQUIRE(fixture.north.requests() + fixture.south.requests() - before == tries);
+    REQUIRE(fixture.ready(0));
+    REQUIRE(awaitCondition([&] { return !fixture.isNamed(0); }));
+    fixture.setUpstreamsUnreachable(0, false);
+    REQUIRE(awaitCondition([&] { return fixture.isNamed(0); }));
+    REQUIRE(fixture.serves(0));
+}
+
 TEST_CASE("nodes: a control host that is stopped hands over, and orders go on", "[integration][nodes]")
 {
     node_fixture fixture;
