relay: an entry host without a path to any upstream serves through other entry hosts

What callers saw: at an entry host that had lost its links to all upstreams, while callers and other hosts still reached it, first tries were answered 503 after up to 1.6 s, or 504 at the timeout, for as long as the cut lasted (15 of 247 served, 3,806 of 3,806 at the other hosts). Cause: each failed attempt was held against its upstream; nothing decided that the host itself was cut off. It stayed in look-ups, and it had no other way to serve. Class: the failure of one's own links is taken for the failure of the others. Change: upstream_reachability makes the state suspect after failed connections or silence, and a probe of one upstream in every failure domain decides. An isolated host says so to the control hosts; they name peers, and leave it out of look-ups unless isolated hosts are the majority of the region. Its requests go to a peer's internal port, which sends them to an upstream; none is passed on twice. relay_peers bounds the requests in progress at each peer by additive increase and multiplicative decrease.

--- a/include/codec/control_codec.h
+++ b/include/codec/control_codec.h
@@ -9,6 +9,8 @@
 
 /// Conversions between the types for calls to control hosts and the messages of the schema. Decoding never fails.
 
+schema::relay_peer encode(const relay_peer &value);
+relay_peer decode(const schema::relay_peer &value);
 schema::watch_request encode(const watch_query &value);
 schema::watch_reply encode(const watch_answer &value);
 watch_query decode(const schema::watch_request &value);
--- a/include/fleet/entry_host_list.h
+++ b/include/fleet/entry_host_list.h
@@ -36,8 +36,12 @@
     /// Records a watch query from `host`, which has the announcements up to `position`.
     void recordProgress(const entry_host &host, std::uint64_t position, steady_time now);
 
-    /// Returns the addresses of the serving hosts in `region`, or of all serving hosts when the region has none.
+    /// Returns the addresses of the serving hosts in `region`, or of all serving hosts when the region has none. Isolated hosts are
+    /// left out unless they are the majority: then the other hosts could not bear the load of all callers, which isolated hosts
+    /// spread over the fleet.
     [[nodiscard]] std::vector<std::string> addressesFor(const region_name &region, steady_time now) const;
+    /// Returns serving hosts that are not isolated, at most `limit`, those in `region` first.
+    [[nodiscard]] std::vector<relay_peer> relayPeersFor(const region_name &region, std::size_t limit, steady_time now) const;
     /// Returns true when every required host has the announcements up to `position` and at least one host is present.
     [[nodiscard]] bool allCaughtUp(std::uint64_t position, required_hosts required, steady_time now) const;
     /// Returns the number of listed hosts, absent ones included.
@@ -55,6 +59,8 @@
         steady_time lastQueryAt {};
     };
 
+    [[nodiscard]] bool isServing(const record &known, steady_time now) const;
+
     entry_host_list_options m_options;
     mutable std::mutex m_lock;
     // Guarded by m_lock.
--- a/include/relay/header_codec.h
+++ b/include/relay/header_codec.h
@@ -44,7 +44,7 @@
 
 /// Metadata that the relay adds to the caller's header when it forwards a request.
 struct upstream_metadata {
-    // The instance that the request is meant for; another one at the same address refuses it.
+    // The instance that the request is meant for; another one at the same address refuses it. Empty for another entry host.
     instance_name instance;
     // Time until the deadline of the request.
     milliseconds timeLeft {0};
@@ -62,6 +62,9 @@
     [[nodiscard]] virtual bool replaces(std::string_view field) const = 0;
     /// Appends the header lines for `metadata`, each terminated by CRLF.
     virtual void encodeForUpstream(const upstream_metadata &metadata, std::string &header) const = 0;
+    /// Appends the header lines for the id and execution state in `metadata`, each terminated by CRLF. Another entry host decodes them
+    /// with `decodeResponse`.
+    virtual void encodeForPeer(const response_metadata &metadata, std::string &header) const = 0;
 };
 
 } // namespace hornbeampick
--- a/include/relay/relay_server.h
+++ b/include/relay/relay_server.h
@@ -9,7 +9,9 @@
 #include "steering/dispatcher.h"
 #include "steering/drain_schedule.h"
 #include "steering/poison_registry.h"
+#include "steering/relay_peers.h"
 #include "steering/retry_budget.h"
+#include "steering/upstream_reachability.h"
 
 #include <cstddef>
 #include <functional>
@@ -37,11 +39,15 @@
     upstream_death_listener &deathListener;
     metrics &counters;
     clock_source &clock;
+    upstream_reachability &reachability;
+    relay_peers &peers;
 };
 
 struct relay_options {
     // Listening address, "ip:port".
     std::string address;
+    // Listening address for requests that other entry hosts pass on, "ip:port"; empty for none.
+    std::string peerAddress {};
     // Number of threads. Each has its own connections to callers and upstreams.
     std::size_t threads = 2;
     // Limit on open caller connections, at which no further connection is accepted.
@@ -55,18 +61,20 @@
     virtual ~relay_server() = default;
 
     [[nodiscard]] virtual std::uint16_t port() const = 0;
+    /// Returns the port for other entry hosts; 0 when there is none.
+    [[nodiscard]] virtual std::uint16_t peerPort() const = 0;
     /// Returns the number of requests in progress.
     [[nodiscard]] virtual std::size_t activeRequests() const = 0;
     /// Starts draining: every response from now on closes its connection, and requests that the schedule does not allow are refused as
     /// not executed. New connections are still accepted. Must be called at most once.
     virtual void beginDrain(const drain_schedule &schedule) = 0;
-    /// Closes the listening socket and refuses new requests on open connections as not executed. Requests in progress continue.
+    /// Closes the listening sockets and refuses new requests on open connections as not executed. Requests in progress continue.
     virtual void stopAccepting() = 0;
     /// Stops the threads. Requests in progress are aborted.
     virtual void stop() = 0;
 };
 
-/// Opens the listening socket and starts the threads. Errors: ioFailed when the address cannot be bound.
+/// Opens the listening sockets and starts the threads. Errors: ioFailed when an address cannot be bound.
 result<std::unique_ptr<relay_server>> startRelay(const relay_options &options, const relay_parts &parts);
 
 } // namespace hornbeampick
--- a/include/rpc/control_client.h
+++ b/include/rpc/control_client.h
@@ -40,6 +40,8 @@
     std::uint32_t entryHosts = 0;
     std::uint32_t entryHostsInRegion = 0;
     std::vector<upstream_death> deaths;
+    /// Entry hosts through which an isolated watcher can serve.
+    std::vector<relay_peer> relayPeers {};
 };
 
 /// Client for calls to control hosts, addressed as "ip:port". Thread-safe.
--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -137,6 +137,9 @@
     /// Records that an upstream reported how much longer it stays cold.
     void markCold(const service_name &service, const instance_name &instance, milliseconds left);
 
+    /// Returns the address of one upstream, chosen at random, in every failure domain.
+    [[nodiscard]] std::vector<std::string> probeTargets() const;
+
     /// Load of one service in the home region of this host.
     struct service_stats {
         service_name service;
--- a/src/codec/control_codec.cpp
+++ b/src/codec/control_codec.cpp
@@ -6,6 +6,19 @@
 namespace hornbeampick
 {
 
+schema::relay_peer encode(const relay_peer &value)
+{
+    schema::relay_peer message;
+    message.set_address(value.address);
+    message.set_region(value.region.string());
+    return message;
+}
+
+relay_peer decode(const schema::relay_peer &value)
+{
+    return {.address = value.address(), .region = region_name(value.region())};
+}
+
 schema::watch_request encode(const watch_query &value)
 {
     schema::watch_request message;
@@ -16,6 +29,8 @@
     watcher.set_failure_domain(value.watcher.domain.string());
     watcher.set_incarnation(value.watcher.incarnation);
     watcher.set_serving(value.watcher.serving);
+    watcher.set_relay_address(value.watcher.relayAddress);
+    watcher.set_isolated(value.watcher.isolated);
     message.set_source(value.source);
     message.set_position(value.position);
     message.set_applied_index(value.appliedIndex);
@@ -35,6 +50,8 @@
             .domain = domain_name(watcher.failure_domain()),
             .incarnation = watcher.incarnation(),
             .serving = watcher.serving(),
+            .relayAddress = watcher.relay_address(),
+            .isolated = watcher.isolated(),
         },
         .source = value.source(),
         .position = value.position(),
@@ -59,6 +76,7 @@
     message.set_entry_hosts(value.entryHosts);
     message.set_entry_hosts_in_region(value.entryHostsInRegion);
     encodeAll(value.deaths, message.mutable_deaths());
+    encodeAll(value.relayPeers, message.mutable_relay_peers());
     return message;
 }
 
@@ -76,6 +94,7 @@
     answer.entryHosts = value.entry_hosts();
     answer.entryHostsInRegion = value.entry_hosts_in_region();
     answer.deaths = decodeAll<upstream_death>(value.deaths());
+    answer.relayPeers = decodeAll<relay_peer>(value.relay_peers());
     return answer;
 }
 
--- a/src/fleet/entry_host_list.cpp
+++ b/src/fleet/entry_host_list.cpp
@@ -24,19 +24,48 @@
 
 std::vector<std::string> entry_host_list::addressesFor(const region_name &region, steady_time now) const
 {
-    std::vector<std::string> inRegion;
-    std::vector<std::string> all;
+    std::vector<const entry_host *> all;
+    std::vector<const entry_host *> inRegion;
     const std::lock_guard guard(m_lock);
     for (const auto &[name, known] : m_records) {
-        if (!known.host.serving || now >= known.lastQueryAt + m_options.absentAfter) {
+        if (!isServing(known, now)) {
             continue;
         }
-        all.push_back(known.host.address);
+        all.push_back(&known.host);
         if (known.host.region == region) {
-            inRegion.push_back(known.host.address);
+            inRegion.push_back(&known.host);
         }
     }
-    return inRegion.empty() ? all : inRegion;
+    auto &hosts = inRegion.empty() ? all : inRegion;
+    const auto isolated = static_cast<std::size_t>(std::ranges::count_if(hosts, [](const entry_host *each) { return each->isolated; }));
+    if (2 * isolated <= hosts.size()) {
+        std::erase_if(hosts, [](const entry_host *each) { return each->isolated; });
+    }
+    std::vector<std::string> addresses;
+    addresses.reserve(hosts.size());
+    for (const auto *each : hosts) {
+        addresses.push_back(each->address);
+    }
+    return addresses;
+}
+
+std::vector<relay_peer> entry_host_list::relayPeersFor(const region_name &region, std::size_t limit, steady_time now) const
+{
+    std::vector<relay_peer> peers;
+    const std::lock_guard guard(m_lock);
+    for (const auto &[name, known] : m_records) {
+        if (isServing(known, now) && !known.host.isolated && !known.host.relayAddress.empty()) {
+            peers.push_back({.address = known.host.relayAddress, .region = known.host.region});
+        }
+    }
+    std::ranges::stable_partition(peers, [&](const relay_peer &each) { return each.region == region; });
+    peers.resize(std::min(peers.size(), limit));
+    return peers;
+}
+
+bool entry_host_list::isServing(const record &known, steady_time now) const
+{
+    return known.host.serving && now < known.lastQueryAt + m_options.absentAfter;
 }
 
 bool entry_host_list::allCaughtUp(std::uint64_t position, required_hosts required, steady_time now) const
--- a/src/node/control_watch.cpp
+++ b/src/node/control_watch.cpp
@@ -53,15 +53,27 @@
 {
     asio::post(m_context, [this, serving] {
         m_self.serving = serving;
-        for (const auto &[address, host] : m_controlHosts) {
-            asio::co_spawn(
-                m_context,
-                [](control_watch &self, std::string target) -> asio::awaitable<void> { co_await self.poll(target, milliseconds(0)); }(*this, address),
-                asio::detached);
-        }
+        pollAllNow();
+    });
+}
+
+void control_watch::setIsolated(bool isolated)
+{
+    asio::post(m_context, [this, isolated] {
+        m_self.isolated = isolated;
+        pollAllNow();
     });
 }
 
+void control_watch::pollAllNow()
+{
+    for (const auto &[address, host] : m_controlHosts) {
+        asio::co_spawn(
+            m_context, [](control_watch &self, std::string target) -> asio::awaitable<void> { co_await self.poll(target, milliseconds(0)); }(*this, address),
+            asio::detached);
+    }
+}
+
 void control_watch::reportDeath(const upstream_death &death)
 {
     const std::lock_guard guard(m_deathLock);
@@ -130,6 +142,10 @@
     for (const auto &death : answer.deaths) {
         m_parts.poison.report(death, now);
     }
+    // A control host that has just started knows no entry hosts yet.
+    if (!answer.relayPeers.empty()) {
+        m_parts.relayPeers.set(answer.relayPeers);
+    }
     m_upstreamsKnown = m_upstreamsKnown || !answer.upstreams.empty();
     addSeeds(answer.controlHosts);
     const bool hasState = m_upstreamsKnown && m_parts.routes.get() != nullptr;
--- a/src/node/control_watch.h
+++ b/src/node/control_watch.h
@@ -7,6 +7,7 @@
 #include "rules/routing_table.h"
 #include "steering/dispatcher.h"
 #include "steering/poison_registry.h"
+#include "steering/relay_peers.h"
 #include "steering/retry_budget.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -26,6 +27,7 @@
     published<route_index> &routes;
     retry_budget &retries;
     poison_registry &poison;
+    relay_peers &relayPeers;
     clock_source &clock;
 };
 
@@ -50,6 +52,8 @@
     void addSeeds(std::span<const std::string> addresses);
     /// Immediately reports to all control hosts whether this host serves callers.
     void setServing(bool serving);
+    /// Immediately reports to all control hosts whether this host reaches no upstream, and asks them for peers if so.
+    void setIsolated(bool isolated);
     /// Queues an upstream's death for the next poll of each control host. Thread-safe.
     void reportDeath(const upstream_death &death);
 
@@ -68,6 +72,7 @@
         bool reachable = false;
     };
 
+    void pollAllNow();
     boost::asio::awaitable<void> pollLoop(std::string address);
     boost::asio::awaitable<bool> poll(const std::string &address, milliseconds wait);
     void applyAnswer(const std::string &address, const watch_answer &answer);
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "node_common.h"
 #include "observe/log.h"
 #include "relay/relay_server.h"
+#include "relay/upstream_probe.h"
 #include "settings/settings_file.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -29,6 +30,10 @@
 constexpr milliseconds quarantineExpiryInterval {1000};
 // The settings file may change without a SIGHUP, so that it is also polled.
 constexpr milliseconds reloadInterval {5000};
+// How often it is checked whether upstreams are to be probed.
+constexpr milliseconds reachabilityInterval {100};
+// Covers two of the longest one-way delays between regions, which a handshake takes.
+constexpr milliseconds probeTimeout {300};
 // Number of upstreams that must die of a request before it is quarantined.
 constexpr std::size_t deathsToQuarantine = 3;
 constexpr milliseconds quarantineTime {120000};
@@ -47,8 +52,9 @@
         , m_peers(makeGrpcControlClient(plainTextTls(), &m_counters))
         , m_dispatch({.region = region_name(m_settings->region())}, m_fleet, m_clock, m_random)
         , m_retries({.tokensPerAttempt = retryRatioShare * m_settings->deployment().retry_ratio(), .initialTokens = 2, .maxTokens = 4})
+        , m_relayPeers(region_name(m_settings->region()), m_random)
         , m_poison({.deathsToQuarantine = deathsToQuarantine, .quarantine = quarantineTime})
-        , m_controlWatch({*m_peers, m_dispatch, m_routes, m_retries, m_poison, m_clock}, watchOptions(), m_context)
+        , m_controlWatch({*m_peers, m_dispatch, m_routes, m_retries, m_poison, m_relayPeers, m_clock}, watchOptions(), m_context)
         , m_readinessHandler(frontEnds.readiness(*this))
         , m_metricsHandler(m_counters, [this] { refreshMetrics(); })
     {
@@ -64,8 +70,8 @@
 
     status open()
     {
-        auto relay = startRelay({.address = m_settings->front(), .threads = m_settings->threads()},
-                                {m_dispatch, m_routes, *m_headerCodec, m_retries, m_poison, *this, m_counters, m_clock});
+        auto relay = startRelay({.address = m_settings->front(), .peerAddress = m_settings->rpc(), .threads = m_settings->threads()},
+                                {m_dispatch, m_routes, *m_headerCodec, m_retries, m_poison, *this, m_counters, m_clock, m_reachability, m_relayPeers});
         if (!relay) {
             return relay.error();
         }
@@ -90,6 +96,7 @@
         asio::co_spawn(m_context, awaitStopSignal(), asio::detached);
         asio::co_spawn(m_context, reloadLoop(), asio::detached);
         asio::co_spawn(m_context, expireQuarantines(), asio::detached);
+        asio::co_spawn(m_context, watchReachability(), asio::detached);
         m_context.run();
         shutDown();
         logEvent(log_level::info, "stopped");
@@ -115,6 +122,7 @@
                 .region = region_name(m_settings->region()),
                 .domain = domain_name(m_settings->failure_domain()),
                 .incarnation = m_random.next(),
+                .relayAddress = m_settings->rpc(),
             },
             .retrySlack = m_settings->deployment().retry_slack() / 2,
         };
@@ -198,6 +206,32 @@
         }
     }
 
+    // Probes upstreams while attempts fail or this host is isolated, and reports the state to control hosts when it changes.
+    asio::awaitable<void> watchReachability()
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        while (true) {
+            timer.expires_after(reachabilityInterval);
+            co_await timer.async_wait(noThrow);
+            if (!m_reachability.isSuspect(m_clock.now()) && !m_reachability.isIsolated()) {
+                continue;
+            }
+            auto targets = m_dispatch.probeTargets();
+            if (targets.empty()) {
+                continue;
+            }
+            const auto probed = static_cast<std::int64_t>(targets.size());
+            m_reachability.beginProbe();
+            const auto outcome = co_await probeUpstreams(std::move(targets), probeTimeout);
+            if (m_reachability.onProbe(outcome)) {
+                const bool isolated = m_reachability.isIsolated();
+                logEvent(isolated ? log_level::warning : log_level::info, isolated ? "upstreams-unreachable" : "upstreams-regained",
+                         {{"probed", probed}, {"refused", outcome == probe_outcome::refused}});
+                m_controlWatch.setIsolated(isolated);
+            }
+        }
+    }
+
     void refreshMetrics()
     {
         const auto routes = m_routes.get();
@@ -228,6 +262,8 @@
     published<route_index> m_routes;
     dispatcher m_dispatch;
     retry_budget m_retries;
+    relay_peers m_relayPeers;
+    upstream_reachability m_reachability;
     poison_registry m_poison;
     control_watch m_controlWatch;
     std::atomic<bool> m_stopping {false};
--- a/src/node/watch_server.cpp
+++ b/src/node/watch_server.cpp
@@ -5,6 +5,14 @@
 namespace hornbeampick
 {
 
+namespace
+{
+
+// Enough to spread the requests of an isolated entry host; the list stays small however many hosts there are.
+constexpr std::size_t maxRelayPeers = 32;
+
+} // namespace
+
 watch_server::watch_server(std::uint64_t incarnation, announcement_log &announcements, entry_host_list &hosts, clock_source &clock)
     : m_incarnation(incarnation)
     , m_announcements(announcements)
@@ -119,6 +127,9 @@
         .entryHostsInRegion = m_hosts.countIn(query.watcher.region),
         .deaths = m_announcements.deathsAfter(knownPosition),
     };
+    if (query.watcher.isolated) {
+        answer.relayPeers = m_hosts.relayPeersFor(query.watcher.region, maxRelayPeers, m_clock.now());
+    }
     const auto state = m_state.get();
     if (state && query.appliedIndex < state->appliedIndex) {
         answer.state = *state;
--- a/src/relay/message_head.cpp
+++ b/src/relay/message_head.cpp
@@ -1,6 +1,7 @@
 #include "message_head.h"
 
 #include "core/text.h"
+#include "peer_fields.h"
 
 #include <algorithm>
 #include <array>
@@ -60,12 +61,15 @@
 } // namespace
 
 std::string makeUpstreamRequestHead(const http::request_header<> &request, const body_framing &framing, const header_codec &headerCodec,
-                                    const upstream_metadata &metadata)
+                                    const upstream_metadata &metadata, std::string_view moreFields)
 {
     std::string head;
     head.append(request.method_string()).append(" ").append(request.target()).append(" HTTP/1.1\r\n");
-    appendEndToEndFields(request, head, [&](http::field field, std::string_view name) { return field == http::field::expect || headerCodec.replaces(name); });
+    appendEndToEndFields(request, head, [&](http::field field, std::string_view name) {
+        return field == http::field::expect || headerCodec.replaces(name) || isPeerField(name);
+    });
     headerCodec.encodeForUpstream(metadata, head);
+    head += moreFields;
     appendFraming(framing, head);
     head += "\r\n";
     return head;
--- a/src/relay/message_head.h
+++ b/src/relay/message_head.h
@@ -37,10 +37,11 @@
     bool chunked = false;
 };
 
-/// Returns the head of the request to the upstream. Method, target and end-to-end fields are unchanged; hop-by-hop fields are dropped,
-/// and the fields of `metadata` replace those that the caller sent.
+/// Returns the head of the request to the upstream. Method, target and end-to-end fields are unchanged; hop-by-hop fields and those
+/// between entry hosts are dropped, and the fields of `metadata` replace those that the caller sent. `moreFields` holds further header
+/// lines.
 std::string makeUpstreamRequestHead(const boost::beast::http::request_header<> &request, const body_framing &framing, const header_codec &headerCodec,
-                                    const upstream_metadata &metadata);
+                                    const upstream_metadata &metadata, std::string_view moreFields = {});
 
 /// Returns the head of the upstream's response as it is sent to the caller, without hop-by-hop fields.
 std::string makeCallerResponseHead(const boost::beast::http::response_header<> &response, const body_framing &framing, bool keepAlive);
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -47,13 +47,18 @@
     --state.connections;
 }
 
-asio::awaitable<void> closeExpiredConnections(upstream_connection_pool &pool, clock_source &clock)
+// Also closes kept connections while no upstream can be reached: an upstream may have closed its end meanwhile, which becomes known
+// only when a request is sent.
+asio::awaitable<void> closeUnusableConnections(upstream_connection_pool &pool, const upstream_reachability &reachability, clock_source &clock)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
     while (true) {
         timer.expires_after(expiryInterval);
         co_await timer.async_wait(noThrow);
         pool.closeExpired(clock.now());
+        if (reachability.isIsolated()) {
+            pool.closeUpstreams();
+        }
     }
 }
 
@@ -67,7 +72,6 @@
         for (std::size_t i = 0; i < std::max<std::size_t>(options.threads, 1); ++i) {
             m_workers.push_back(std::make_unique<relay_worker>());
         }
-        m_acceptor = std::make_unique<tcp::acceptor>(m_workers.front()->context);
     }
 
     ~threaded_relay() override
@@ -80,35 +84,26 @@
 
     bool listen()
     {
-        const auto [ip, port] = parseEndpoint(m_options.address);
-        error_code error;
-        const auto address = asio::ip::make_address(ip, error);
-        if (error) {
-            return false;
-        }
-        const tcp::endpoint endpoint(address, port);
-        m_acceptor->open(endpoint.protocol(), error);
-        if (!error) {
-            m_acceptor->set_option(asio::socket_base::reuse_address(true), error);
+        m_callerAcceptor = listenAt(m_options.address);
+        if (!m_options.peerAddress.empty()) {
+            m_peerAcceptor = listenAt(m_options.peerAddress);
         }
-        if (!error) {
-            m_acceptor->bind(endpoint, error);
-        }
-        if (!error) {
-            m_acceptor->listen(listenBacklog, error);
-        }
-        if (error) {
+        if (!m_callerAcceptor || (!m_peerAcceptor && !m_options.peerAddress.empty())) {
             return false;
         }
-        m_port = m_acceptor->local_endpoint().port();
+        m_port = m_callerAcceptor->local_endpoint().port();
+        m_peerPort = m_peerAcceptor ? m_peerAcceptor->local_endpoint().port() : 0;
         return true;
     }
 
     void start()
     {
-        asio::co_spawn(m_workers.front()->context, acceptLoop(), asio::detached);
+        asio::co_spawn(m_workers.front()->context, acceptLoop(*m_callerAcceptor, session_origin::caller), asio::detached);
+        if (m_peerAcceptor) {
+            asio::co_spawn(m_workers.front()->context, acceptLoop(*m_peerAcceptor, session_origin::entryHost), asio::detached);
+        }
         for (auto &worker : m_workers) {
-            asio::co_spawn(worker->context, closeExpiredConnections(worker->pool, m_parts.clock), asio::detached);
+            asio::co_spawn(worker->context, closeUnusableConnections(worker->pool, m_parts.reachability, m_parts.clock), asio::detached);
             worker->thread = std::thread([&context = worker->context] { context.run(); });
         }
     }
@@ -118,6 +113,11 @@
         return m_port;
     }
 
+    [[nodiscard]] std::uint16_t peerPort() const override
+    {
+        return m_peerPort;
+    }
+
     [[nodiscard]] std::size_t activeRequests() const override
     {
         return m_state.active;
@@ -134,7 +134,10 @@
         m_state.refusing = true;
         asio::post(m_workers.front()->context, [this] {
             error_code ignored;
-            m_acceptor->close(ignored);
+            m_callerAcceptor->close(ignored);
+            if (m_peerAcceptor) {
+                m_peerAcceptor->close(ignored);
+            }
         });
     }
 
@@ -173,13 +176,37 @@
                   {"attempts", static_cast<std::int64_t>(request.attemptsSent)}});
     }
 
-    asio::awaitable<void> acceptLoop()
+    // Returns null when the address cannot be bound.
+    std::unique_ptr<tcp::acceptor> listenAt(std::string_view text)
+    {
+        const auto [ip, port] = parseEndpoint(text);
+        error_code error;
+        const auto address = asio::ip::make_address(ip, error);
+        if (error) {
+            return nullptr;
+        }
+        auto acceptor = std::make_unique<tcp::acceptor>(m_workers.front()->context);
+        const tcp::endpoint endpoint(address, port);
+        acceptor->open(endpoint.protocol(), error);
+        if (!error) {
+            acceptor->set_option(asio::socket_base::reuse_address(true), error);
+        }
+        if (!error) {
+            acceptor->bind(endpoint, error);
+        }
+        if (!error) {
+            acceptor->listen(listenBacklog, error);
+        }
+        return error ? nullptr : std::move(acceptor);
+    }
+
+    asio::awaitable<void> acceptLoop(tcp::acceptor &acceptor, session_origin origin)
     {
         asio::steady_timer retryTimer(co_await asio::this_coro::executor);
         std::size_t nextWorker = 0;
         while (true) {
             auto &worker = *m_workers[nextWorker++ % m_workers.size()];
-            auto [failed, socket] = co_await m_acceptor->async_accept(worker.context, noThrow);
+            auto [failed, socket] = co_await acceptor.async_accept(worker.context, noThrow);
             if (m_state.refusing) {
                 co_return;
             }
@@ -190,7 +217,7 @@
                 continue;
             }
             ++m_state.connections;
-            auto session = std::make_shared<relay_session>(std::move(socket), m_parts, m_state, worker.pool, worker.requests);
+            auto session = std::make_shared<relay_session>(std::move(socket), m_parts, m_state, worker.pool, worker.requests, origin);
             asio::co_spawn(worker.context, runSession(std::move(session), m_state), asio::detached);
             while (m_state.connections >= m_options.maxConnections) {
                 retryTimer.expires_after(acceptRetryDelay);
@@ -204,8 +231,11 @@
     relay_state m_state;
     steady_time m_drainBeganAt {};
     std::vector<std::unique_ptr<relay_worker>> m_workers;
-    std::unique_ptr<tcp::acceptor> m_acceptor;
+    std::unique_ptr<tcp::acceptor> m_callerAcceptor;
+    // Null when no other entry hosts are served.
+    std::unique_ptr<tcp::acceptor> m_peerAcceptor;
     std::uint16_t m_port = 0;
+    std::uint16_t m_peerPort = 0;
 };
 
 } // namespace
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -3,6 +3,7 @@
 #include "body_reader.h"
 #include "message_head.h"
 #include "observe/log.h"
+#include "peer_fields.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -34,6 +35,8 @@
 constexpr milliseconds notReadyRetryAfter {500};
 // Retry-After of a draining host: other hosts can take the request at once.
 constexpr milliseconds stoppingRetryAfter {10};
+// Other entry hosts that are tried for one request.
+constexpr std::size_t maxPeerAttempts = 3;
 // A request with less time left than this is not retried: no upstream responds that fast.
 constexpr milliseconds minRetryTime {20};
 
@@ -81,6 +84,25 @@
     return {.status = 400, .error = errc::malformedRequest};
 }
 
+peer_outcome toPeerOutcome(dispatch_outcome end)
+{
+    switch (end) {
+    case dispatch_outcome::answered:
+    case dispatch_outcome::failed:
+        return peer_outcome::served;
+    case dispatch_outcome::shed:
+    case dispatch_outcome::timedOut:
+        return peer_outcome::overloaded;
+    case dispatch_outcome::unreachable:
+        return peer_outcome::unreachable;
+    case dispatch_outcome::misdirected:
+    case dispatch_outcome::broke:
+    case dispatch_outcome::abandoned:
+        return peer_outcome::abandoned;
+    }
+    return peer_outcome::abandoned;
+}
+
 bool expectsContinue(const http::fields &fields)
 {
     return beast::iequals(fields[http::field::expect], "100-continue");
@@ -88,12 +110,14 @@
 
 } // namespace
 
-relay_session::relay_session(tcp::socket socket, const relay_parts &parts, relay_state &state, upstream_connection_pool &pool, active_requests &requests)
+relay_session::relay_session(tcp::socket socket, const relay_parts &parts, relay_state &state, upstream_connection_pool &pool, active_requests &requests,
+                             session_origin origin)
     : m_stream(std::move(socket))
     , m_parts(parts)
     , m_state(state)
     , m_pool(pool)
     , m_requests(requests)
+    , m_origin(origin)
 {
 }
 
@@ -180,6 +204,9 @@
     if (request.count(http::field::host) != 1 || request.target().empty()) {
         return {.status = 400, .error = errc::malformedRequest};
     }
+    const auto metadata = m_parts.headerCodec.decodeRequest(beast_header_view(request));
+    context.id = metadata.id;
+    context.affinityKey = metadata.affinityKey;
     context.routes = m_parts.routes.get();
     if (m_state.refusing) {
         return {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter};
@@ -187,14 +214,19 @@
     if (!context.routes) {
         return {.status = 503, .error = errc::notReady, .retryAfter = notReadyRetryAfter};
     }
-    const auto metadata = m_parts.headerCodec.decodeRequest(beast_header_view(request));
-    context.id = metadata.id;
-    context.affinityKey = metadata.affinityKey;
     context.matched = context.routes->find(request[http::field::host], request.target());
     if (context.matched == nullptr) {
         return {.status = 404, .error = errc::noRoute};
     }
     context.service = chooseService(*context.matched, context.id);
+    context.maxAttempts = context.matched->attempts;
+    if (m_origin == session_origin::entryHost) {
+        const auto passedOn = decodePeerRequest(beast_header_view(request));
+        context.maxAttempts = std::min(context.maxAttempts, passedOn.attempts);
+        if (context.routes->table().version < passedOn.routesVersion) {
+            return {.status = 503, .error = errc::notReady, .retryAfter = notReadyRetryAfter};
+        }
+    }
     context.deadline = context.arrivedAt + std::min(metadata.callerTimeout.value_or(context.matched->timeout), context.matched->timeout);
     return {.status = 200, .error = errc::ok};
 }
@@ -253,6 +285,9 @@
         if (isRetry && !m_parts.retries.take(context.service)) {
             break;
         }
+        if (m_parts.reachability.isIsolated()) {
+            co_return co_await tryPeers(context, std::move(outcome));
+        }
         const auto verdict = chooseUpstream(context, now);
         if (const auto *refused = std::get_if<dispatch_refusal>(&verdict)) {
             if (isRetry) {
@@ -308,9 +343,46 @@
     return !schedule || schedule->mayStart(now, context.deadline);
 }
 
+// Sends the request to an upstream through another entry host, since this one reaches none. A request that came from an entry host is
+// refused, so that none is passed on twice. `outcome` is that of the attempts so far.
+asio::awaitable<bool> relay_session::tryPeers(request_context &context, attempt_outcome outcome)
+{
+    std::vector<std::string> tried;
+    dispatch_grant grant {.service = context.service};
+    upstream_attempt attempt(m_parts, m_pool, m_stream, m_buffer);
+    bool mayTryPeer = m_origin == session_origin::caller;
+    while (mayTryPeer) {
+        const auto now = m_parts.clock.now();
+        if (tried.size() >= maxPeerAttempts || !mayStartAttempt(context, now) || context.remaining(now) < minRetryTime) {
+            break;
+        }
+        const auto peer = m_parts.peers.acquire({.service = context.service, .allowedRegions = context.matched->allowedRegions, .tried = tried}, now);
+        if (!peer) {
+            break;
+        }
+        tried.push_back(*peer);
+        grant.address = *peer;
+        grant.grantedAt = now;
+        m_cancellableAttempt = context.matched->runOnce ? nullptr : &attempt;
+        auto attemptOutcome = co_await attempt.runThroughPeer(context, grant);
+        m_cancellableAttempt = nullptr;
+        m_parts.peers.release(*peer, context.service, toPeerOutcome(attemptOutcome.end), m_parts.clock.now());
+        if (attemptOutcome.end != dispatch_outcome::answered) {
+            logFailure(context, grant, attemptOutcome);
+        }
+        const bool mayHaveArrived = attemptOutcome.end != dispatch_outcome::unreachable && attemptOutcome.end != dispatch_outcome::shed;
+        mayTryPeer = !m_callerLeft && !context.isBodyStreamed && !mayHaveArrived;
+        context.mayHaveRun = context.mayHaveRun || attemptOutcome.mayHaveRun;
+        if (attemptOutcome.response || !outcome.response) {
+            outcome = std::move(attemptOutcome);
+        }
+    }
+    co_return co_await sendResponse(context, outcome, grant, attempt);
+}
+
 bool relay_session::mayRetry(const request_context &context, const attempt_outcome &outcome)
 {
-    if (context.isBodyStreamed || context.attemptsSent >= context.matched->attempts || context.remaining(m_parts.clock.now()) < minRetryTime) {
+    if (context.isBodyStreamed || context.attemptsSent >= context.maxAttempts || context.remaining(m_parts.clock.now()) < minRetryTime) {
         return false;
     }
     switch (outcome.end) {
@@ -440,6 +512,9 @@
     if (isNotRun && response.retryAfter > milliseconds(0)) {
         head += "Retry-After: " + formatSeconds(response.retryAfter) + "\r\n";
     }
+    if (context != nullptr && m_origin == session_origin::entryHost) {
+        m_parts.headerCodec.encodeForPeer({.id = context->id, .notRun = !context->mayHaveRun}, head);
+    }
     head += keepOpen ? "\r\n" : "Connection: close\r\n\r\n";
     if (context != nullptr) {
         const auto elapsed = std::chrono::duration_cast<milliseconds>(m_parts.clock.now() - context->arrivedAt);
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -28,6 +28,13 @@
     std::atomic<std::size_t> active {0};
 };
 
+/// Who opened the connection of a session.
+enum class session_origin {
+    caller,
+    // Another entry host, which passes on requests because it reaches no upstream itself.
+    entryHost,
+};
+
 /// A response that the relay itself generates.
 struct local_response {
     unsigned status = 503;
@@ -43,7 +50,8 @@
 {
 public:
     /// `pool` and `requests` belong to the thread of the socket's executor. All references must outlive the session.
-    relay_session(boost::asio::ip::tcp::socket socket, const relay_parts &parts, relay_state &state, upstream_connection_pool &pool, active_requests &requests);
+    relay_session(boost::asio::ip::tcp::socket socket, const relay_parts &parts, relay_state &state, upstream_connection_pool &pool, active_requests &requests,
+                  session_origin origin);
 
     boost::asio::awaitable<void> run();
 
@@ -53,6 +61,7 @@
     boost::asio::awaitable<bool> processRequest(request_context &context);
     boost::asio::awaitable<bool> bufferBody(request_context &context);
     boost::asio::awaitable<bool> tryUpstreams(request_context &context);
+    boost::asio::awaitable<bool> tryPeers(request_context &context, attempt_outcome outcome);
     [[nodiscard]] local_response matchRoute(request_context &context) const;
     [[nodiscard]] dispatch_result chooseUpstream(const request_context &context, steady_time now);
     [[nodiscard]] bool mayStartAttempt(const request_context &context, steady_time now) const;
@@ -77,6 +86,7 @@
     relay_state &m_state;
     upstream_connection_pool &m_pool;
     active_requests &m_requests;
+    session_origin m_origin;
     // The attempt in progress that is cancelled when the caller disconnects; null when there is none.
     upstream_attempt *m_cancellableAttempt = nullptr;
     bool m_watchingCaller = false;
--- a/src/relay/request_context.h
+++ b/src/relay/request_context.h
@@ -34,6 +34,8 @@
     std::string body;
     digest contentDigest;
     std::vector<instance_name> tried;
+    // Number of upstreams to which the request may be sent.
+    std::uint32_t maxAttempts = 1;
     // Number of attempts that connected to an upstream and sent the request.
     std::uint32_t attemptsSent = 0;
     // When the latest of these attempts began to send.
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -3,6 +3,7 @@
 #include "body_reader.h"
 #include "core/text.h"
 #include "message_head.h"
+#include "peer_fields.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -74,6 +75,26 @@
 }
 
 asio::awaitable<attempt_outcome> upstream_attempt::run(request_context &context, const dispatch_grant &grant)
+{
+    m_throughPeer = false;
+    m_parts.reachability.onAttempt(m_parts.clock.now());
+    auto outcome = co_await exchange(context, grant);
+    if (outcome.end == dispatch_outcome::broke) {
+        m_connection.reset();
+        outcome.upstreamDied = co_await refusesConnections(grant.address);
+    }
+    co_return outcome;
+}
+
+asio::awaitable<attempt_outcome> upstream_attempt::runThroughPeer(request_context &context, const dispatch_grant &grant)
+{
+    m_throughPeer = true;
+    auto outcome = co_await exchange(context, grant);
+    m_connection.reset();
+    co_return outcome;
+}
+
+asio::awaitable<attempt_outcome> upstream_attempt::exchange(request_context &context, const dispatch_grant &grant)
 {
     attempt_outcome outcome;
     m_connection = m_pool.acquire(grant.address, grant.instance, grant.incarnation, m_parts.clock.now());
@@ -85,7 +106,7 @@
         co_return outcome;
     }
     outcome.mayHaveRun = true;
-    ++context.attemptsSent;
+    context.attemptsSent += m_throughPeer ? 0 : 1;
     context.lastSentAt = m_parts.clock.now();
     m_connection->stream.expires_at(context.deadline + responseGrace);
     if (co_await sendRequest(context, grant, outcome)) {
@@ -94,10 +115,6 @@
     if (m_cancelled) {
         outcome.end = dispatch_outcome::abandoned;
     }
-    if (outcome.end == dispatch_outcome::broke) {
-        m_connection.reset();
-        outcome.upstreamDied = co_await refusesConnections(grant.address);
-    }
     co_return outcome;
 }
 
@@ -107,8 +124,14 @@
     m_connection->stream.expires_after(std::min(connectTimeout, std::max(context.remaining(m_parts.clock.now()), milliseconds(1))));
     const auto [failed] = co_await m_connection->stream.async_connect(endpointOf(grant.address), noThrow);
     if (failed) {
+        if (!m_throughPeer && !m_cancelled) {
+            m_parts.reachability.onConnectFailure();
+        }
         co_return false;
     }
+    if (!m_throughPeer) {
+        m_parts.reachability.onConnected();
+    }
     error_code ignored;
     m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
     co_return true;
@@ -119,8 +142,12 @@
 {
     const auto framing = framingOf(context);
     const auto remainingTime = std::max(context.remaining(m_parts.clock.now()), milliseconds(1));
-    const std::string head
-        = makeUpstreamRequestHead(context.parser.get().base(), framing, m_parts.headerCodec, {.instance = grant.instance, .timeLeft = remainingTime});
+    std::string peerFields;
+    if (m_throughPeer) {
+        encodePeerRequest({.attempts = context.maxAttempts - context.attemptsSent, .routesVersion = context.routes->table().version}, peerFields);
+    }
+    const std::string head = makeUpstreamRequestHead(context.parser.get().base(), framing, m_parts.headerCodec,
+                                                     {.instance = grant.instance, .timeLeft = remainingTime}, peerFields);
     const std::string body = framing.chunked && !context.body.empty() ? encodeChunk(context.body) : std::string();
     const std::array buffers {asio::buffer(head), framing.chunked ? asio::buffer(body) : asio::buffer(context.body)};
     const auto [failed, count] = co_await asio::async_write(m_connection->stream, buffers, noThrow);
@@ -186,6 +213,9 @@
             outcome.end = endOf(failed);
             co_return;
         }
+        if (!m_throughPeer) {
+            m_parts.reachability.onResponse();
+        }
         if (response.status() < static_cast<unsigned>(http::status::ok)) {
             continue;
         }
--- a/src/relay/upstream_attempt.h
+++ b/src/relay/upstream_attempt.h
@@ -58,12 +58,16 @@
 
     /// Sends the request to the upstream of `grant` and reads the response, the body only up to `maxBufferedBodyBytes`.
     boost::asio::awaitable<attempt_outcome> run(request_context &context, const dispatch_grant &grant);
+    /// Sends the request to the entry host at the address of `grant`, which sends it to an upstream. The response is that of the
+    /// upstream, or the entry host's own: `shed` when it states that the request was not executed.
+    boost::asio::awaitable<attempt_outcome> runThroughPeer(request_context &context, const dispatch_grant &grant);
     /// Cancels the attempt. Its connection to the upstream is closed, and the upstream then drops the request.
     void cancel();
     /// Returns the connection to the pool, if it can be reused, after the last byte of a response.
     void releaseConnection(std::unique_ptr<upstream_connection> connection, const upstream_response::parser_type &parser, const dispatch_grant &grant);
 
 private:
+    boost::asio::awaitable<attempt_outcome> exchange(request_context &context, const dispatch_grant &grant);
     boost::asio::awaitable<bool> connect(request_context &context, const dispatch_grant &grant);
     boost::asio::awaitable<bool> sendRequest(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome);
     boost::asio::awaitable<bool> streamBody(request_context &context, attempt_outcome &outcome);
@@ -78,6 +82,7 @@
     boost::beast::flat_buffer &m_callerBuffer;
     std::unique_ptr<upstream_connection> m_connection;
     bool m_cancelled = false;
+    bool m_throughPeer = false;
     // The connection must not be used for another request.
     bool m_notReusable = false;
 };
--- a/src/relay/upstream_connection.cpp
+++ b/src/relay/upstream_connection.cpp
@@ -54,6 +54,11 @@
     m_idle[{.address = address, .instance = instance, .incarnation = incarnation}].push_back(std::move(connection));
 }
 
+void upstream_connection_pool::closeUpstreams()
+{
+    std::erase_if(m_idle, [](const auto &item) { return !item.first.instance.empty(); });
+}
+
 void upstream_connection_pool::closeExpired(steady_time now)
 {
     for (auto it = m_idle.begin(); it != m_idle.end();) {
--- a/src/relay/upstream_connection.h
+++ b/src/relay/upstream_connection.h
@@ -38,6 +38,8 @@
     void release(const std::string &address, const instance_name &instance, std::uint64_t incarnation, std::unique_ptr<upstream_connection> connection);
     /// Closes connections whose idle deadline has passed.
     void closeExpired(steady_time now);
+    /// Closes all connections to upstreams; those to other entry hosts, which have no instance name, stay.
+    void closeUpstreams();
 
 private:
     struct key {
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -483,6 +483,32 @@
     });
 }
 
+std::vector<std::string> dispatcher::probeTargets() const
+{
+    struct domain_choice {
+        std::string address;
+        std::uint64_t seen = 0;
+    };
+    std::map<domain_name, domain_choice> choices;
+    m_records.forEach([&](const service_records &all) {
+        for (const auto &[service, serviceRecord] : all) {
+            for (const auto &[instance, each] : serviceRecord.trackedUpstreams) {
+                // Reservoir sampling: the n-th upstream of a domain replaces the choice with probability 1/n.
+                auto &choice = choices[each.report.domain];
+                if (m_random.below(++choice.seen) == 0) {
+                    choice.address = each.report.address;
+                }
+            }
+        }
+    });
+    std::vector<std::string> addresses;
+    addresses.reserve(choices.size());
+    for (const auto &[domain, choice] : choices) {
+        addresses.push_back(choice.address);
+    }
+    return addresses;
+}
+
 std::vector<dispatcher::service_stats> dispatcher::serviceStats() const
 {
     const auto now = m_clock.now();
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -163,6 +163,28 @@
     REQUIRE(hosts.addressesFor(region_name("north"), clock.now()).empty());
 }
 
+TEST_CASE("entry hosts: look-ups leave out isolated hosts, unless they are the majority", "[announcements]")
+{
+    manual_clock clock;
+    entry_host_list hosts;
+    const auto record = [&](std::string_view name, std::string_view region, bool isolated) {
+        auto host = entryHost(std::string(name), std::string(region));
+        host.relayAddress = std::string(name) + ":90";
+        host.isolated = isolated;
+        hosts.recordProgress(host, 0, clock.now());
+    };
+    record("a", "north", true);
+    record("b", "north", false);
+    record("c", "north", false);
+    record("d", "south", false);
+    REQUIRE(hosts.addressesFor(region_name("north"), clock.now()) == std::vector<std::string> {"b:80", "c:80"});
+    record("b", "north", true);
+    REQUIRE(hosts.addressesFor(region_name("north"), clock.now()) == std::vector<std::string> {"a:80", "b:80", "c:80"});
+    const std::vector<relay_peer> both {{.address = "c:90", .region = region_name("north")}, {.address = "d:90", .region = region_name("south")}};
+    REQUIRE(hosts.relayPeersFor(region_name("north"), 9, clock.now()) == both);
+    REQUIRE(hosts.relayPeersFor(region_name("south"), 1, clock.now()) == std::vector {both.back()});
+}
+
 TEST_CASE("entry hosts: a change is known to all once each present host has followed it", "[announcements]")
 {
     manual_clock clock;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -421,9 +421,9 @@
 // An entry host without a path to any upstream tried them one after another, and its callers got 503.
 TEST_CASE("nodes: an entry host that is cut off from all upstreams serves through another one", "[integration][nodes]")
 {
-    node_fixture fixture({.controlHosts = node_fixture::controlHosts, .entryHosts = 2, .preload = HORNBEAMPICK_FAULT_LIBRARY});
+    node_fixture fixture({.controlHosts = node_fixture::controlHosts, .entryHosts = 3, .preload = HORNBEAMPICK_FAULT_LIBRARY});
     INFO(fixture.fleet.logs());
-    REQUIRE(fixture.isNamed(0));
+    REQUIRE(awaitCondition([&] { return fixture.isNamed(0) && fixture.isNamed(2); }));
     fixture.setUpstreamsUnreachable(0, true);
     // Callers' first tries must succeed again within the specified time, here with three seconds.
     const auto cutAt = std::chrono::steady_clock::now();
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -45,6 +45,8 @@
     retry_budget retries {{.initialTokens = 10}};
     poison_registry poison {{.deathsToQuarantine = 3}};
     death_counter deaths;
+    upstream_reachability reachability;
+    relay_peers peers {region_name("home"), random};
     std::unique_ptr<relay_server> server;
 
     explicit relay_fixture(const std::vector<scripted_upstream *> &upstreams = {}, bool knowsRoutes = true)
@@ -77,10 +79,19 @@
             };
             routes.set(std::make_shared<const route_index>(table));
         }
-        auto started = startRelay({.address = "127.0.0.1:0", .threads = 2}, {steering, routes, headerCodec, retries, poison, deaths, counters, clock});
+        auto started = startRelay({.address = "127.0.0.1:0", .peerAddress = "127.0.0.1:0", .threads = 2},
+                                  {steering, routes, headerCodec, retries, poison, deaths, counters, clock, reachability, peers});
         REQUIRE(started);
         server = std::move(started.value());
     }
+
+    // Makes this host isolated, with `through` as the only other entry host.
+    void isolate(const relay_fixture &through)
+    {
+        reachability.beginProbe();
+        reachability.onProbe(probe_outcome::refused);
+        peers.set({{.address = "127.0.0.1:" + std::to_string(through.server->peerPort()), .region = region_name("home")}});
+    }
 };
 
 // A connection of a caller to the relay.
@@ -88,9 +99,13 @@
 {
 public:
     explicit caller(const relay_fixture &fixture)
+        : caller(fixture.server->port())
+    {
+    }
+    explicit caller(std::uint16_t port)
         : m_socket(m_context)
     {
-        m_socket.connect({asio::ip::address_v4::loopback(), fixture.server->port()});
+        m_socket.connect({asio::ip::address_v4::loopback(), port});
     }
 
     void send(const std::string &bytes)
@@ -557,6 +572,86 @@
     REQUIRE(upstream.requests() == 2);
 }
 
+TEST_CASE("relay: an isolated host passes requests on to another one, whole, and the upstream's response back", "[relay][peers]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture connected({&upstream});
+    relay_fixture isolated({&upstream});
+    isolated.isolate(connected);
+    caller client(isolated);
+    const auto answer = client.exchange("PUT", "/once/a?b=c", "X-Other: kept\r\nHornbeampick-Attempts: 9\r\n", "the body");
+    REQUIRE(answer.result_int() == 200);
+    REQUIRE(answer["Server-Stamp"] == "mark");
+    REQUIRE(answer.body() == "from PUT /once/a?b=c HTTP/1.1");
+    const auto received = upstream.last();
+    REQUIRE(received.body == "the body");
+    REQUIRE(received.field("X-Other") == "kept");
+    REQUIRE(received.field("Expect-Instance") == "i-0");
+    REQUIRE(received.head.find("Hornbeampick") == std::string::npos);
+    const std::string longBody(300000, 'y');
+    REQUIRE(client.exchange("POST", "/once/long", "", longBody).result_int() == 200);
+    REQUIRE(upstream.last().body == longBody);
+}
+
+TEST_CASE("relay: a request is passed on once only, and refused as not run where no host reaches an upstream", "[relay][peers]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture first({&upstream});
+    relay_fixture second({&upstream});
+    first.isolate(second);
+    second.isolate(first);
+    caller client(first);
+    const auto answer = client.exchange("POST", "/once/1", "", "x");
+    REQUIRE(answer.result_int() == 503);
+    REQUIRE_FALSE(answer["Retry-After"].empty());
+    REQUIRE(upstream.requests() == 0);
+}
+
+TEST_CASE("relay: what another entry host may have run is not sent again, and promises nothing", "[relay][peers]")
+{
+    scripted_upstream broken([](const received_request &, scripted_upstream::socket &) { return false; });
+    relay_fixture connected({&broken});
+    relay_fixture isolated;
+    isolated.isolate(connected);
+    caller client(isolated);
+    REQUIRE(client.exchange("POST", "/once/1", "", "x").result_int() == 502);
+    REQUIRE(broken.requests() == 1);
+}
+
+TEST_CASE("relay: what another entry host surely did not run is refused as not run", "[relay][peers]")
+{
+    scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
+        scripted_upstream::write(to, notRunResponse(request));
+        return true;
+    });
+    relay_fixture connected({&full});
+    relay_fixture isolated;
+    isolated.isolate(connected);
+    caller client(isolated);
+    REQUIRE(client.exchange("POST", "/once/1", "", "x").result_int() == 503);
+    // A host without routes, or with older ones, refuses as well.
+    relay_fixture blank({&full}, false);
+    relay_fixture other;
+    other.isolate(blank);
+    caller next(other);
+    REQUIRE(next.exchange("POST", "/once/1", "", "x").result_int() == 503);
+}
+
+TEST_CASE("relay: requests of other entry hosts keep the sender's number of attempts and version of the routes", "[relay][peers]")
+{
+    scripted_upstream broken([](const received_request &, scripted_upstream::socket &) { return false; });
+    scripted_upstream alsoBroken([](const received_request &, scripted_upstream::socket &) { return false; });
+    relay_fixture fixture({&broken, &alsoBroken});
+    caller peer(fixture.server->peerPort());
+    REQUIRE(peer.exchange("GET", "/again/1", "Hornbeampick-Attempts: 1\r\n").result_int() == 502);
+    REQUIRE(broken.requests() + alsoBroken.requests() == 1);
+    const auto newer = peer.exchange("GET", "/again/2", "Hornbeampick-Routes-Version: 2\r\n");
+    REQUIRE(newer.result_int() == 503);
+    REQUIRE(newer["Request-Id"] == "again/2");
+    REQUIRE_FALSE(newer["Not-Executed"].empty());
+    REQUIRE(broken.requests() + alsoBroken.requests() == 1);
+}
+
 TEST_CASE("relay: a request that upstreams die of goes to none after the third", "[relay]")
 {
     relay_fixture fixture;
