relay: reject requests for which the host's link has no room

Cause: requests were admitted by the slots of upstreams alone; nothing looked at the host's own link. Class: a resource that is shared by all requests has no admission of its own. Change: link_limiter admits requests by the bytes that they are expected to cost, against the capacity that the settings tell; less urgent ones leave a reserve. A rejected request is told at once when to come back.

--- a/include/relay/relay_server.h
+++ b/include/relay/relay_server.h
@@ -8,6 +8,7 @@
 #include "rules/routing_table.h"
 #include "steering/dispatcher.h"
 #include "steering/drain_schedule.h"
+#include "steering/link_limiter.h"
 #include "steering/poison_registry.h"
 #include "steering/relay_peers.h"
 #include "steering/retry_budget.h"
@@ -41,6 +42,7 @@
     clock_source &clock;
     upstream_reachability &reachability;
     relay_peers &peers;
+    link_limiter &link;
 };
 
 struct relay_options {
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -52,6 +52,7 @@
         , m_peers(makeGrpcControlClient(plainTextTls(), &m_counters))
         , m_dispatch({.region = region_name(m_settings->region())}, m_fleet, m_clock, m_random)
         , m_retries({.tokensPerAttempt = retryRatioShare * m_settings->deployment().retry_ratio(), .initialTokens = 2, .maxTokens = 4})
+        , m_link({.megabitsPerSecond = m_settings->link_mbps()})
         , m_relayPeers(region_name(m_settings->region()), m_random)
         , m_poison({.deathsToQuarantine = deathsToQuarantine, .quarantine = quarantineTime})
         , m_controlWatch({*m_peers, m_dispatch, m_routes, m_retries, m_poison, m_relayPeers, m_clock}, watchOptions(), m_context)
@@ -71,7 +72,7 @@
     status open()
     {
         auto relay = startRelay({.address = m_settings->front(), .peerAddress = m_settings->rpc(), .threads = m_settings->threads()},
-                                {m_dispatch, m_routes, *m_headerCodec, m_retries, m_poison, *this, m_counters, m_clock, m_reachability, m_relayPeers});
+                                {m_dispatch, m_routes, *m_headerCodec, m_retries, m_poison, *this, m_counters, m_clock, m_reachability, m_relayPeers, m_link});
         if (!relay) {
             return relay.error();
         }
@@ -262,6 +263,7 @@
     published<route_index> m_routes;
     dispatcher m_dispatch;
     retry_budget m_retries;
+    link_limiter m_link;
     relay_peers m_relayPeers;
     upstream_reachability m_reachability;
     poison_registry m_poison;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -191,10 +191,17 @@
     if (m_parts.poison.isQuarantined(context.contentDigest, m_parts.clock.now())) {
         co_return co_await sendLocalResponse(&context, {.status = 503, .error = errc::quarantined, .retryAfter = context.matched->timeout});
     }
+    const auto rejected = m_parts.link.admit({.service = context.service, .priority = context.matched->priority}, m_parts.clock.now());
+    if (rejected) {
+        co_return co_await sendLocalResponse(&context, {.status = 503, .error = errc::overloaded, .retryAfter = *rejected});
+    }
     if (context.isBodyBuffered()) {
         watchForCallerClose();
     }
-    co_return co_await tryUpstreams(context);
+    const auto writtenBefore = m_bytesWritten;
+    const bool keepOpen = co_await tryUpstreams(context);
+    m_parts.link.finish(context.service, context.body.size() + m_bytesWritten - writtenBefore);
+    co_return keepOpen;
 }
 
 // Determines the route, service and deadline. Any error but `ok` is the response with which the request is refused.
@@ -552,6 +559,7 @@
     const std::array buffers {asio::buffer(head), asio::buffer(body)};
     const auto [failed, count] = co_await asio::async_write(m_stream, buffers, noThrow);
     m_stream.expires_never();
+    m_bytesWritten += count;
     co_return !failed;
 }
 
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -89,6 +89,8 @@
     session_origin m_origin;
     // The attempt in progress that is cancelled when the caller disconnects; null when there is none.
     upstream_attempt *m_cancellableAttempt = nullptr;
+    // Bytes written to the caller.
+    std::size_t m_bytesWritten = 0;
     bool m_watchingCaller = false;
     bool m_callerLeft = false;
     bool m_lingerOnClose = false;
--- /dev/null
+++ b/src/steering/link_limiter.cpp
@@ -0,0 +1,79 @@
+#include "steering/link_limiter.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <array>
+
+namespace hornbeampick
+{
+
+namespace
+{
+
+constexpr double bytesPerMegabit = 125000;
+// Fraction of the capacity that requests may use. The rest is for control traffic and for acknowledgements.
+constexpr double usableFraction = 0.85;
+// Traffic that may be admitted at once, as time on the link.
+constexpr double burstSeconds = 0.25;
+// Header fields of the request, and headers and handshakes of the transport.
+constexpr double overheadBytes = 700;
+// Cost of a request to a service before the first response, in bytes.
+constexpr double initialBytes = 2500;
+constexpr double smoothingFactor = 0.1;
+// Fraction of the burst that requests of each priority leave to more urgent ones.
+constexpr std::array priorityReserves {0.0, 0.15, 0.3};
+constexpr milliseconds minRetryAfter {100};
+
+} // namespace
+
+link_limiter::link_limiter(const link_limiter_options &options)
+    : m_bytesPerSecond(usableFraction * bytesPerMegabit * options.megabitsPerSecond)
+    , m_available(burstSeconds * m_bytesPerSecond)
+{
+}
+
+std::optional<milliseconds> link_limiter::admit(const link_request &request, steady_time now)
+{
+    if (m_bytesPerSecond <= 0) {
+        return std::nullopt;
+    }
+    const double cost = expectedOf(request.service);
+    const double burst = burstSeconds * m_bytesPerSecond;
+    const double reserve = burst * priorityReserves.at(std::min<std::size_t>(request.priority, priorityReserves.size() - 1));
+    const std::lock_guard guard(m_lock);
+    if (m_refilledAt != steady_time {}) {
+        const double elapsed = std::chrono::duration<double>(now - m_refilledAt).count();
+        m_available = std::min(burst, m_available + std::max(0.0, elapsed) * m_bytesPerSecond);
+    }
+    m_refilledAt = std::max(m_refilledAt, now);
+    if (m_available <= reserve) {
+        // The rejected request has arrived, and its rejection goes out.
+        m_available = std::max(m_available - overheadBytes, -burst);
+        const double waitMs = (reserve + cost - m_available) / m_bytesPerSecond * 1000;
+        return std::max(minRetryAfter, milliseconds(static_cast<std::int64_t>(waitMs)));
+    }
+    m_available -= cost;
+    return std::nullopt;
+}
+
+void link_limiter::finish(const service_name &service, std::size_t bytes)
+{
+    if (m_bytesPerSecond <= 0) {
+        return;
+    }
+    m_expected.with(stableHash(service.view()), [&](expected_bytes &all) {
+        double &average = all.try_emplace(service, initialBytes).first->second;
+        average += smoothingFactor * (static_cast<double>(bytes) + overheadBytes - average);
+    });
+}
+
+double link_limiter::expectedOf(const service_name &service) const
+{
+    return m_expected.with(stableHash(service.view()), [&](const expected_bytes &all) {
+        const auto found = all.find(service);
+        return found == all.end() ? initialBytes : found->second;
+    });
+}
+
+} // namespace hornbeampick
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -47,9 +47,11 @@
     death_counter deaths;
     upstream_reachability reachability;
     relay_peers peers {region_name("home"), random};
+    link_limiter link;
     std::unique_ptr<relay_server> server;
 
-    explicit relay_fixture(const std::vector<scripted_upstream *> &upstreams = {}, bool knowsRoutes = true)
+    explicit relay_fixture(const std::vector<scripted_upstream *> &upstreams = {}, bool knowsRoutes = true, double linkMbps = 0)
+        : link({.megabitsPerSecond = linkMbps})
     {
         std::vector<known_upstream> known;
         for (std::size_t i = 0; i < upstreams.size(); ++i) {
@@ -80,7 +82,7 @@
             routes.set(std::make_shared<const route_index>(table));
         }
         auto started = startRelay({.address = "127.0.0.1:0", .peerAddress = "127.0.0.1:0", .threads = 2},
-                                  {steering, routes, headerCodec, retries, poison, deaths, counters, clock, reachability, peers});
+                                  {steering, routes, headerCodec, retries, poison, deaths, counters, clock, reachability, peers, link});
         REQUIRE(started);
         server = std::move(started.value());
     }
@@ -652,6 +654,21 @@
     REQUIRE(broken.requests() + alsoBroken.requests() == 1);
 }
 
+TEST_CASE("relay: requests beyond the capacity of the host's link are rejected at once", "[relay][link]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture fixture({&upstream}, true, 0.05);
+    caller client(fixture);
+    int rejected = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto answer = client.exchange("POST", "/once/" + std::to_string(i), "", "x");
+        rejected += answer.result_int() == 503 ? 1 : 0;
+        REQUIRE((answer.result_int() == 200 || !answer["Retry-After"].empty()));
+    }
+    REQUIRE(rejected > 10);
+    REQUIRE(upstream.requests() + static_cast<std::size_t>(rejected) == 20);
+}
+
 TEST_CASE("relay: a request that upstreams die of goes to none after the third", "[relay]")
 {
     relay_fixture fixture;
--- a/tests/settings/node_settings_test.cpp
+++ b/tests/settings/node_settings_test.cpp
@@ -30,6 +30,13 @@
     REQUIRE(topologyOf(*parsed.settings).regionOf(domain_name("n-a")) == region_name("north"));
 }
 
+TEST_CASE("node settings: the capacity of the link may be a fraction, and is unknown unless it is set", "[settings]")
+{
+    REQUIRE(parseNodeSettings(settingsWith("front: '10.0.0.1:80'\nlinkMbps: 4.7\n"), "f").settings->link_mbps() == 4.7);
+    REQUIRE(parseNodeSettings(settingsWith("front: '10.0.0.1:80'\n"), "f").settings->link_mbps() == 0);
+    REQUIRE(keyOfError("front: '10.0.0.1:80'\nlinkMbps: -1\n") == "linkMbps");
+}
+
 TEST_CASE("node settings: what is wrong is named", "[settings]")
 {
     REQUIRE(keyOfError("front: '10.0.0.1:80'\n").empty());
