relay: an upstream that says in a response that it leaves gets no more requests

What callers saw: nothing yet, but the rule on draining was broken. An upstream that answered with `Server-Leaving: 1` went on receiving requests until the control hosts reported it as draining, or for good if they never did. Cause: the header field was not decoded; the dispatcher knew of leaving only through announcements. Class: a statement of an upstream in its responses that nothing acts on. A later incarnation starts afresh. A late response to an earlier request counts too, since its connection belongs to one incarnation; a 421 does not, since it comes from another instance at the address. The field is passed on to the caller. Tests, before: `relay: an upstream that says in any response …` failed for all six kinds of responses (a refusal: `leaving.requests() == 1` with `5 == 1`), `relay: an upstream that leaves gets no further request while …` with `REQUIRE( refused )` false in both sections; without the new condition in the dispatcher, `dispatcher: an upstream that says in a response …` failed in its first refusal. They pass now.

--- a/include/relay/header_codec.h
+++ b/include/relay/header_codec.h
@@ -37,6 +37,8 @@
     bool notRun = false;
     // The response carries the upstream's stamp. A response without it was not produced by the upstream.
     bool hasServerStamp = false;
+    // The upstream leaves and wants no further requests.
+    bool isLeaving = false;
     std::optional<load_report> load;
     // Time until the upstream has warmed up.
     std::optional<milliseconds> warmupRemaining;
--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -134,6 +134,10 @@
     /// Records the outcome of an attempt. Returns the ejection time when this outcome ejects the upstream.
     std::optional<milliseconds> finish(const dispatch_grant &grant, dispatch_outcome end, const std::optional<load_report> &load);
 
+    /// Records that the upstream of `grant` stated in a response that it leaves. This incarnation receives no further requests, whatever
+    /// control hosts report of it. Returns true the first time.
+    bool markLeaving(const dispatch_grant &grant);
+
     /// Records that an upstream reported how much longer it stays cold.
     void markCold(const service_name &service, const instance_name &instance, milliseconds left);
 
@@ -167,6 +171,8 @@
         steady_time ejectedUntil {};
         // Another instance responded at its address.
         bool misdirected = false;
+        // This incarnation stated in a response that it leaves.
+        bool leaving = false;
         window_limiter coldLimiter;
     };
     // What this host knows about one service.
@@ -190,6 +196,8 @@
         std::uint32_t regions = 0;
     };
 
+    // Returns the upstream of `grant`; null when it is gone or another incarnation has taken its place.
+    [[nodiscard]] static tracked_upstream *trackedUpstreamOf(service_record &serviceRecord, const dispatch_grant &grant);
     [[nodiscard]] service_record &recordOf(service_records &all, const service_name &service) const;
     [[nodiscard]] std::vector<candidate> candidatesFor(service_record &serviceRecord, const dispatch_request &request, steady_time now) const;
     [[nodiscard]] double estimatedLoad(const tracked_upstream &each, steady_time now) const;
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -3,6 +3,7 @@
 #include "body_reader.h"
 #include "core/text.h"
 #include "message_head.h"
+#include "observe/log.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -191,6 +192,10 @@
         }
         const auto metadata = m_parts.headerCodec.decodeResponse(beast_header_view(response.parser->get()));
         const bool isMatching = metadata.id == context.id;
+        const bool isMisdirected = response.status() == static_cast<unsigned>(http::status::misdirected_request);
+        if (!isMisdirected) {
+            recordUpstreamState(context, grant, metadata);
+        }
         const bool isIntact = co_await bufferBody(response);
         if (!isMatching) {
             // This is a late response to an earlier request; the matching one may still follow.
@@ -203,10 +208,9 @@
         }
         outcome.load = metadata.load;
         outcome.warmupRemaining = metadata.warmupRemaining;
-        if (metadata.notRun || response.status() == static_cast<unsigned>(http::status::misdirected_request)) {
+        if (metadata.notRun || isMisdirected) {
             outcome.mayHaveRun = false;
-            outcome.end
-                = response.status() == static_cast<unsigned>(http::status::misdirected_request) ? dispatch_outcome::misdirected : dispatch_outcome::shed;
+            outcome.end = isMisdirected ? dispatch_outcome::misdirected : dispatch_outcome::shed;
         } else if (!isIntact || !metadata.hasServerStamp) {
             outcome.end = dispatch_outcome::broke;
             co_return;
@@ -227,6 +231,16 @@
     outcome.end = dispatch_outcome::broke;
 }
 
+// Called as soon as the header has been read, because the body can take long, and for late responses to earlier requests as well: the
+// connection belongs to one incarnation.
+void upstream_attempt::recordUpstreamState(const request_context &context, const dispatch_grant &grant, const response_metadata &metadata)
+{
+    if (metadata.isLeaving && m_parts.dispatch.markLeaving(grant)) {
+        logRateLimited(log_level::info, "upstream-leaving",
+                       {{"request", context.id}, {"instance", grant.instance.string()}, {"service", grant.service.string()}});
+    }
+}
+
 // Buffers the body up to the limit. Returns false when it is truncated.
 asio::awaitable<bool> upstream_attempt::bufferBody(upstream_response &response)
 {
--- a/src/relay/upstream_attempt.h
+++ b/src/relay/upstream_attempt.h
@@ -68,6 +68,8 @@
     boost::asio::awaitable<bool> sendRequest(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome);
     boost::asio::awaitable<bool> streamBody(request_context &context, attempt_outcome &outcome);
     boost::asio::awaitable<void> readResponse(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome);
+    // Passes what the upstream states of itself in a response on to the dispatcher.
+    void recordUpstreamState(const request_context &context, const dispatch_grant &grant, const response_metadata &metadata);
     boost::asio::awaitable<bool> bufferBody(upstream_response &response);
     boost::asio::awaitable<bool> refusesConnections(const std::string &address);
     [[nodiscard]] dispatch_outcome endOf(const boost::system::error_code &error) const;
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace hornbeampick
 {
@@ -180,6 +181,13 @@
     return all.try_emplace(service, service_record {.spill = spill_share(m_options.spill)}).first->second;
 }
 
+dispatcher::tracked_upstream *dispatcher::trackedUpstreamOf(service_record &serviceRecord, const dispatch_grant &grant)
+{
+    const auto found = serviceRecord.trackedUpstreams.find(grant.instance);
+    const bool isKnown = found != serviceRecord.trackedUpstreams.end() && found->second.report.incarnation == grant.incarnation;
+    return isKnown ? &found->second : nullptr;
+}
+
 void dispatcher::setHostsInRegion(std::uint32_t hosts)
 {
     m_hostsInRegion = std::max(hosts, 1U);
@@ -216,7 +224,7 @@
     usable.reserve(serviceRecord.trackedUpstreams.size());
     for (auto &[instance, each] : serviceRecord.trackedUpstreams) {
         const auto &report = each.report;
-        const bool excluded = report.state == upstream_state::draining || report.silent || each.misdirected
+        const bool excluded = report.state == upstream_state::draining || report.silent || each.misdirected || each.leaving
             || std::ranges::find(*evacuated, report.domain) != evacuated->end() || std::ranges::find(request.tried, instance) != request.tried.end();
         const bool regionAllowed = request.allowedRegions.empty() || std::ranges::find(request.allowedRegions, each.region) != request.allowedRegions.end();
         if (excluded || !regionAllowed) {
@@ -407,11 +415,11 @@
     const auto now = m_clock.now();
     return m_records.with(stableHash(grant.service.view()), [&](service_records &all) -> std::optional<milliseconds> {
         auto &serviceRecord = recordOf(all, grant.service);
-        const auto found = serviceRecord.trackedUpstreams.find(grant.instance);
-        if (found == serviceRecord.trackedUpstreams.end() || found->second.report.incarnation != grant.incarnation) {
+        auto *found = trackedUpstreamOf(serviceRecord, grant);
+        if (found == nullptr) {
             return std::nullopt;
         }
-        auto &tracked = found->second;
+        auto &tracked = *found;
         tracked.inFlight -= std::min(tracked.inFlight, 1U);
         if (load) {
             const double others = static_cast<double>(load->running + load->waiting) - tracked.inFlight;
@@ -471,6 +479,14 @@
     return std::nullopt;
 }
 
+bool dispatcher::markLeaving(const dispatch_grant &grant)
+{
+    return m_records.with(stableHash(grant.service.view()), [&](service_records &all) {
+        auto *tracked = trackedUpstreamOf(recordOf(all, grant.service), grant);
+        return tracked != nullptr && !std::exchange(tracked->leaving, true);
+    });
+}
+
 void dispatcher::markCold(const service_name &service, const instance_name &instance, milliseconds left)
 {
     const auto now = m_clock.now();
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -23,11 +23,13 @@
 const std::string weightedRow
     = R"(["r2","y.example","/q/","idempotent",1200,300,2,null,2,false,["north"],[{"service":"a","weight":90},{"service":"b","weight":10}]])";
 
+using fields = std::map<std::string, std::string, std::less<>>;
+
 class map_header_view final : public header_view
 {
 public:
-    explicit map_header_view(std::map<std::string, std::string, std::less<>> fields)
-        : m_fields(std::move(fields))
+    explicit map_header_view(fields values)
+        : m_fields(std::move(values))
     {
     }
     [[nodiscard]] std::string_view value(std::string_view name) const override
@@ -37,7 +39,7 @@
     }
 
 private:
-    std::map<std::string, std::string, std::less<>> m_fields;
+    fields m_fields;
 };
 
 } // namespace
@@ -131,13 +133,16 @@
     REQUIRE(request.id == "9c41");
     REQUIRE(request.callerTimeout == milliseconds(2500));
     REQUIRE(request.affinityKey == "17");
-    REQUIRE_FALSE(headerCodec.decodeRequest(map_header_view(std::map<std::string, std::string, std::less<>> {{"Deadline-Ms", "soon"}})).callerTimeout);
+    REQUIRE_FALSE(headerCodec.decodeRequest(map_header_view(fields {{"Deadline-Ms", "soon"}})).callerTimeout);
     const auto response = headerCodec.decodeResponse(
         map_header_view({{"Request-Id", "9c41"}, {"Server-Stamp", "x"}, {"Instance-Load", "3,1,8"}, {"Not-Executed", "full"}, {"Warmup-Ms", "800"}}));
     REQUIRE(response.notRun);
     REQUIRE(response.hasServerStamp);
     REQUIRE(response.load->waiting == 1);
     REQUIRE(response.warmupRemaining == milliseconds(800));
+    REQUIRE_FALSE(response.isLeaving);
+    REQUIRE(headerCodec.decodeResponse(map_header_view(fields {{"Server-Leaving", "1"}})).isLeaving);
+    REQUIRE_FALSE(headerCodec.decodeResponse(map_header_view(fields {{"Server-Leaving", "0"}})).isLeaving);
     std::string header;
     headerCodec.encodeForUpstream({.instance = instance_name("i-7"), .timeLeft = milliseconds(900)}, header);
     REQUIRE(header == "Deadline-Ms: 900\r\nExpect-Instance: i-7\r\n");
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -34,6 +34,22 @@
     std::atomic<int> count {0};
 };
 
+// Returns the reports of upstreams that are named i-0, i-1 and so on.
+std::vector<known_upstream> reportsOf(const std::vector<scripted_upstream *> &upstreams, std::uint64_t incarnation = 1, wall_ms reportedAt = 0)
+{
+    std::vector<known_upstream> known;
+    for (std::size_t i = 0; i < upstreams.size(); ++i) {
+        known.push_back({.report = {.service = service_name("s"),
+                                    .instance = instance_name("i-" + std::to_string(i)),
+                                    .address = upstreams[i]->address(),
+                                    .domain = domain_name("home-a"),
+                                    .incarnation = incarnation,
+                                    .slots = 8,
+                                    .reportedAt = reportedAt}});
+    }
+    return known;
+}
+
 struct relay_fixture {
     system_clock_source clock;
     topology fleet {{{.name = region_name("home"), .domains = {domain_name("home-a")}}}};
@@ -49,16 +65,7 @@
 
     explicit relay_fixture(const std::vector<scripted_upstream *> &upstreams = {}, bool knowsRoutes = true)
     {
-        std::vector<known_upstream> known;
-        for (std::size_t i = 0; i < upstreams.size(); ++i) {
-            known.push_back({.report = {.service = service_name("s"),
-                                        .instance = instance_name("i-" + std::to_string(i)),
-                                        .address = upstreams[i]->address(),
-                                        .domain = domain_name("home-a"),
-                                        .incarnation = 1,
-                                        .slots = 8}});
-        }
-        steering.setUpstreams(known);
+        steering.setUpstreams(reportsOf(upstreams));
         if (knowsRoutes) {
             auto table = std::make_shared<routing_table>();
             table->version = 1;
@@ -587,3 +594,102 @@
     REQUIRE(reached == 3);
     REQUIRE(fixture.deaths.count == 3);
 }
+
+// An instance that leaves says so in every response, and a request that reaches it later than `drain_ms` after one of them has been
+// passed on breaks a rule. The control hosts can still report it as ready by then.
+TEST_CASE("relay: an upstream that says in any response that it leaves gets no further request", "[relay]")
+{
+    using script = std::function<std::string(const received_request &)>;
+    const auto [name, respond] = GENERATE(table<std::string, script>({
+        {"success", [](const received_request &request) { return scripted_upstream::answer(request, "x", "Server-Leaving: 1\r\n"); }},
+        {"failure",
+         [](const received_request &request) {
+             return "HTTP/1.1 500 No\r\nRequest-Id: " + request.field("Request-Id")
+                 + "\r\nServer-Stamp: mark\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+         }},
+        {"refusal",
+         [](const received_request &request) {
+             return "HTTP/1.1 503 Busy\r\nRequest-Id: " + request.field("Request-Id")
+                 + "\r\nNot-Executed: full\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+         }},
+        {"late response to an earlier request",
+         [](const received_request &request) {
+             return "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nServer-Stamp: mark\r\nServer-Leaving: 1\r\nContent-Length: 5\r\n\r\nother"
+                 + scripted_upstream::answer(request, "x");
+         }},
+        {"late response without a length",
+         [](const received_request &) { return std::string("HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nServer-Leaving: 1\r\n\r\nother"); }},
+        {"truncated response",
+         [](const received_request &request) {
+             return "HTTP/1.1 200 OK\r\nRequest-Id: " + request.field("Request-Id")
+                 + "\r\nServer-Stamp: mark\r\nServer-Leaving: 1\r\nContent-Length: 9\r\n\r\nx";
+         }},
+    }));
+    CAPTURE(name);
+    const bool closes = name == "late response without a length" || name == "truncated response";
+    scripted_upstream leaving([respond = respond, closes](const received_request &request, scripted_upstream::socket &to) {
+        scripted_upstream::write(to, respond(request));
+        return !closes;
+    });
+    scripted_upstream other(echo);
+    relay_fixture fixture({&leaving});
+    caller(fixture).exchange("GET", "/once/0");
+    REQUIRE(leaving.requests() == 1);
+    for (int round = 1; round <= 12; ++round) {
+        // Control hosts that have not heard of it yet report the same incarnation as ready.
+        fixture.steering.setUpstreams(reportsOf({&leaving, &other}, 1, round));
+        // Each caller has a connection of its own, so that all threads of the relay take part.
+        REQUIRE(caller(fixture).exchange("GET", "/once/" + std::to_string(round)).body().starts_with("from"));
+    }
+    REQUIRE(leaving.requests() == 1);
+    fixture.steering.setUpstreams(reportsOf({&leaving}, 2));
+    caller(fixture).exchange("GET", "/once/again");
+    REQUIRE(leaving.requests() == 2);
+}
+
+// The response can take long. What its header says holds from the header on.
+TEST_CASE("relay: an upstream that leaves gets no further request while its response is still being sent", "[relay]")
+{
+    const std::size_t sentBytes = GENERATE(10U, 100000U);
+    std::promise<void> released;
+    scripted_upstream leaving([&](const received_request &request, scripted_upstream::socket &to) {
+        if (request.line().find("/once/slow") == std::string::npos) {
+            return echo(request, to);
+        }
+        scripted_upstream::write(to,
+                                 "HTTP/1.1 200 OK\r\nRequest-Id: " + request.field("Request-Id")
+                                     + "\r\nServer-Stamp: mark\r\nServer-Leaving: 1\r\nContent-Length: " + std::to_string(sentBytes + 1) + "\r\n\r\n"
+                                     + std::string(sentBytes, 'x'));
+        released.get_future().wait();
+        scripted_upstream::write(to, "y");
+        return true;
+    });
+    relay_fixture fixture({&leaving});
+    auto slow = std::async(std::launch::async, [&] { return caller(fixture).exchange("GET", "/once/slow"); });
+    // It is the only upstream.
+    const bool refused = eventually([&] { return caller(fixture).exchange("GET", "/once/next").result_int() == 503; });
+    released.set_value();
+    const auto response = slow.get();
+    REQUIRE(refused);
+    REQUIRE(response.result_int() == 200);
+    REQUIRE(response["Server-Leaving"] == "1");
+    REQUIRE(response.body() == std::string(sentBytes, 'x') + "y");
+}
+
+// A 421 comes from another instance that has the address now; what it says of itself concerns no other.
+TEST_CASE("relay: what another instance at the address says of itself does not concern the upstream", "[relay]")
+{
+    std::atomic<bool> misdirected {true};
+    scripted_upstream upstream([&](const received_request &request, scripted_upstream::socket &to) {
+        if (!misdirected) {
+            return echo(request, to);
+        }
+        scripted_upstream::write(to, "HTTP/1.1 421 No\r\nRequest-Id: " + request.field("Request-Id") + "\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    });
+    relay_fixture fixture({&upstream});
+    REQUIRE(caller(fixture).exchange("GET", "/once/1").result_int() == 503);
+    misdirected = false;
+    fixture.steering.setUpstreams(reportsOf({&upstream}, 1, 1));
+    REQUIRE(caller(fixture).exchange("GET", "/once/2").result_int() == 200);
+}
--- a/tests/steering/dispatcher_test.cpp
+++ b/tests/steering/dispatcher_test.cpp
@@ -250,3 +250,37 @@
     fixture.subject.finish(fixture.grants.front(), dispatch_outcome::answered, std::nullopt);
     REQUIRE(fixture.subject.serviceStats().front().inUse == 1);
 }
+
+// Control hosts learn that an upstream leaves later than the hosts to which it has said so in a response, or never.
+TEST_CASE("dispatcher: an upstream that says in a response that it leaves gets nothing, whatever is reported of this incarnation", "[dispatcher]")
+{
+    dispatcher_fixture fixture;
+    fixture.announce({upstreamOf("a", "home-a")});
+    REQUIRE(fixture.take(dispatcher_fixture::request()) == "a");
+    REQUIRE(fixture.subject.markLeaving(fixture.grants.back()));
+    REQUIRE_FALSE(fixture.subject.markLeaving(fixture.grants.back()));
+    REQUIRE(fixture.take(dispatcher_fixture::request()).empty());
+    REQUIRE(fixture.refusals.back().error == errc::noUpstream);
+    fixture.finish(dispatch_outcome::answered);
+    for (wall_ms reportedAt = 2; reportedAt < 30; ++reportedAt) {
+        fixture.clock.advance(milliseconds(1000));
+        fixture.upstreams.front().report.reportedAt = reportedAt;
+        fixture.upstreams.front().report.address = reportedAt % 2 == 0 ? "a" : "b";
+        fixture.subject.setUpstreams(fixture.upstreams);
+        REQUIRE(fixture.take(dispatcher_fixture::request()).empty());
+    }
+    fixture.upstreams.front().report.incarnation = 2;
+    fixture.subject.setUpstreams(fixture.upstreams);
+    REQUIRE(fixture.take(dispatcher_fixture::request()) == "a");
+}
+
+TEST_CASE("dispatcher: a late response of an upstream's former incarnation does not concern the present one", "[dispatcher]")
+{
+    dispatcher_fixture fixture;
+    fixture.announce({upstreamOf("a", "home-a")});
+    REQUIRE(fixture.take(dispatcher_fixture::request()) == "a");
+    fixture.upstreams.front().report.incarnation = 2;
+    fixture.subject.setUpstreams(fixture.upstreams);
+    REQUIRE_FALSE(fixture.subject.markLeaving(fixture.grants.back()));
+    REQUIRE(fixture.take(dispatcher_fixture::request()) == "a");
+}
