platform: durations in header fields that are not finite or absurdly long

What callers saw: `Deadline-Ms: nan` counted as no time left instead of as no deadline. Cause: the number was only checked for being negative, which NaN is not, and converted to an integer that cannot hold it, which is undefined; so it was for infinity and for durations beyond the range, also in `Warmup-Ms`, whose sum with the present time overflowed. Class: unchecked conversion of numbers from outside. Test: `platform: header fields …`; before, for `bad := "nan"`, `REQUIRE_FALSE( headerCodec.decodeRequest(…).callerTimeout )` failed.

--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -143,6 +143,16 @@
     REQUIRE_FALSE(response.isLeaving);
     REQUIRE(headerCodec.decodeResponse(map_header_view(fields {{"Server-Leaving", "1"}})).isLeaving);
     REQUIRE_FALSE(headerCodec.decodeResponse(map_header_view(fields {{"Server-Leaving", "0"}})).isLeaving);
+    for (const auto *bad : {"", "soon", "-1", "nan", "-nan", "inf", "-inf", "1e999"}) {
+        CAPTURE(bad);
+        REQUIRE_FALSE(headerCodec.decodeRequest(map_header_view(fields {{"Deadline-Ms", bad}})).callerTimeout);
+        REQUIRE_FALSE(headerCodec.decodeResponse(map_header_view(fields {{"Warmup-Ms", bad}})).warmupRemaining);
+    }
+    for (const auto *tooLong : {"86400001", "9223372036854775808", "1e300"}) {
+        CAPTURE(tooLong);
+        REQUIRE(headerCodec.decodeRequest(map_header_view(fields {{"Deadline-Ms", tooLong}})).callerTimeout == std::chrono::hours(24));
+        REQUIRE(headerCodec.decodeResponse(map_header_view(fields {{"Warmup-Ms", tooLong}})).warmupRemaining == std::chrono::hours(24));
+    }
     std::string header;
     headerCodec.encodeForUpstream({.instance = instance_name("i-7"), .timeLeft = milliseconds(900)}, header);
     REQUIRE(header == "Deadline-Ms: 900\r\nExpect-Instance: i-7\r\n");
