steering: an upstream that answers 503 with Retry-After gets nothing until then

What callers saw: requests went on to an upstream that had just asked for none, were turned away there and used up attempts; when it was the only one, they were told to return after a fraction of the time for which it wanted none. Cause: `Retry-After` of an upstream was not read. Class: a statement of an upstream in its responses that nothing acts on. That is no ejection: it holds however many upstreams are deferred. A shorter time does not shorten an earlier one. Requests in progress run on. Deferred upstreams count as full. When all upstreams for a request are deferred it is rejected at once, `overloaded`, with the earliest end as Retry-After, unless that is beyond its deadline; then with 1.5 s at most, since another host may serve it.

--- a/include/relay/header_codec.h
+++ b/include/relay/header_codec.h
@@ -39,6 +39,8 @@
     bool hasServerStamp = false;
     // The upstream leaves and wants no further requests.
     bool isLeaving = false;
+    // Time for which the upstream wants no requests from this host. Meaningful only with status 503.
+    std::optional<milliseconds> retryAfter;
     std::optional<load_report> load;
     // Time until the upstream has warmed up.
     std::optional<milliseconds> warmupRemaining;
--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -138,6 +138,10 @@
     /// control hosts report of it. Returns true the first time.
     bool markLeaving(const dispatch_grant &grant);
 
+    /// Records that the upstream of `grant` wants no requests from this host for `retryAfter`, which it stated in a response. A shorter time
+    /// does not shorten an earlier one. Returns true when the time became longer.
+    bool defer(const dispatch_grant &grant, milliseconds retryAfter);
+
     /// Records that an upstream reported how much longer it stays cold.
     void markCold(const service_name &service, const instance_name &instance, milliseconds left);
 
@@ -173,6 +177,8 @@
         bool misdirected = false;
         // This incarnation stated in a response that it leaves.
         bool leaving = false;
+        // It wants no requests until then.
+        steady_time deferredUntil {};
         window_limiter coldLimiter;
     };
     // What this host knows about one service.
@@ -187,6 +193,7 @@
     };
     using service_records = std::map<service_name, service_record>;
     struct candidate;
+    struct candidate_set;
     // Requests and slots at the eligible upstreams of the home region and of the other regions.
     struct region_loads {
         double home = 0;
@@ -199,17 +206,18 @@
     // Returns the upstream of `grant`; null when it is gone or another incarnation has taken its place.
     [[nodiscard]] static tracked_upstream *trackedUpstreamOf(service_record &serviceRecord, const dispatch_grant &grant);
     [[nodiscard]] service_record &recordOf(service_records &all, const service_name &service) const;
-    [[nodiscard]] std::vector<candidate> candidatesFor(service_record &serviceRecord, const dispatch_request &request, steady_time now) const;
+    [[nodiscard]] candidate_set candidatesFor(service_record &serviceRecord, const dispatch_request &request, steady_time now) const;
     [[nodiscard]] double estimatedLoad(const tracked_upstream &each, steady_time now) const;
     [[nodiscard]] double effectiveSlots(const service_record &serviceRecord, const tracked_upstream &each) const;
-    [[nodiscard]] static region_loads loadsOf(std::span<const candidate> candidates);
+    [[nodiscard]] static region_loads loadsOf(const candidate_set &set);
     [[nodiscard]] static dispatch_grant makeGrant(const candidate &chosen, const service_name &service, steady_time now);
     dispatch_result choose(service_record &serviceRecord, const dispatch_request &request, steady_time now);
     [[nodiscard]] static const candidate *choosePreferred(std::span<const candidate> candidates, bool spills, double serviceTimeMs);
     [[nodiscard]] static const candidate *chooseWithSpareSlots(std::span<const candidate> candidates, bool spills, bool mayLeave);
     [[nodiscard]] static double allowedWaitMs(const dispatch_request &request, double serviceTimeMs);
     [[nodiscard]] bool coldRateAllows(const service_record &serviceRecord, tracked_upstream &cold, steady_time now) const;
-    dispatch_refusal makeErrorAnswer(const service_record &serviceRecord) const;
+    [[nodiscard]] static milliseconds deferralOf(const candidate_set &set, bool spills, steady_time now);
+    dispatch_refusal makeErrorAnswer(const service_record &serviceRecord, const dispatch_request &request, milliseconds deferral) const;
     static std::optional<milliseconds> updateEjection(tracked_upstream &tracked, dispatch_outcome end, double load, steady_time now);
     void updateUpstream(const known_upstream &known, steady_time now);
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -341,6 +341,7 @@
                     {"tookMs", static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(now - grant.grantedAt).count())},
                     {"afterMs", static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(now - context.arrivedAt).count())},
                     {"mayHaveRun", outcome.mayHaveRun},
+                    {"retryAfterMs", static_cast<std::int64_t>(outcome.retryAfter ? outcome.retryAfter->count() : 0)},
                     {"running", static_cast<std::int64_t>(outcome.load ? outcome.load->running : 0)},
                     {"waiting", static_cast<std::int64_t>(outcome.load ? outcome.load->waiting : 0)}});
 }
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -194,7 +194,7 @@
         const bool isMatching = metadata.id == context.id;
         const bool isMisdirected = response.status() == static_cast<unsigned>(http::status::misdirected_request);
         if (!isMisdirected) {
-            recordUpstreamState(context, grant, metadata);
+            recordUpstreamState(context, grant, response, metadata, outcome);
         }
         const bool isIntact = co_await bufferBody(response);
         if (!isMatching) {
@@ -233,12 +233,23 @@
 
 // Called as soon as the header has been read, because the body can take long, and for late responses to earlier requests as well: the
 // connection belongs to one incarnation.
-void upstream_attempt::recordUpstreamState(const request_context &context, const dispatch_grant &grant, const response_metadata &metadata)
+void upstream_attempt::recordUpstreamState(const request_context &context, const dispatch_grant &grant, const upstream_response &response,
+                                           const response_metadata &metadata, attempt_outcome &outcome)
 {
     if (metadata.isLeaving && m_parts.dispatch.markLeaving(grant)) {
         logRateLimited(log_level::info, "upstream-leaving",
                        {{"request", context.id}, {"instance", grant.instance.string()}, {"service", grant.service.string()}});
     }
+    if (response.status() == static_cast<unsigned>(http::status::service_unavailable) && metadata.retryAfter) {
+        outcome.retryAfter = metadata.retryAfter;
+        if (m_parts.dispatch.defer(grant, *metadata.retryAfter)) {
+            logRateLimited(log_level::info, "upstream-deferred",
+                           {{"request", context.id},
+                            {"instance", grant.instance.string()},
+                            {"service", grant.service.string()},
+                            {"forMs", static_cast<std::int64_t>(metadata.retryAfter->count())}});
+        }
+    }
 }
 
 // Buffers the body up to the limit. Returns false when it is truncated.
--- a/src/relay/upstream_attempt.h
+++ b/src/relay/upstream_attempt.h
@@ -43,6 +43,8 @@
     bool upstreamDied = false;
     std::optional<load_report> load;
     std::optional<milliseconds> warmupRemaining;
+    // Time for which the upstream wants no requests.
+    std::optional<milliseconds> retryAfter;
     // Set only when `end` is `answered` or `failed`.
     std::optional<upstream_response> response;
     // The caller's body was truncated, or exceeded its limit, while it was streamed.
@@ -69,7 +71,8 @@
     boost::asio::awaitable<bool> streamBody(request_context &context, attempt_outcome &outcome);
     boost::asio::awaitable<void> readResponse(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome);
     // Passes what the upstream states of itself in a response on to the dispatcher.
-    void recordUpstreamState(const request_context &context, const dispatch_grant &grant, const response_metadata &metadata);
+    void recordUpstreamState(const request_context &context, const dispatch_grant &grant, const upstream_response &response, const response_metadata &metadata,
+                             attempt_outcome &outcome);
     boost::asio::awaitable<bool> bufferBody(upstream_response &response);
     boost::asio::awaitable<bool> refusesConnections(const std::string &address);
     [[nodiscard]] dispatch_outcome endOf(const boost::system::error_code &error) const;
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -98,6 +98,15 @@
     }
 };
 
+// The upstreams that could serve a request.
+struct dispatcher::candidate_set {
+    std::vector<candidate> usable;
+    // These want no requests yet. They count as full, so that a short deferral moves the spill share no more than a full region does.
+    std::vector<candidate> deferred;
+    // Some upstream that the request has tried is not deferred.
+    bool triedAccepts = false;
+};
+
 dispatcher::dispatcher(const dispatcher_options &options, const topology &fleet, clock_source &clock, random_source &random)
     : m_options(options)
     , m_fleet(fleet)
@@ -214,10 +223,11 @@
     return std::max(1.0, slots * serviceRecord.serviceTimeMs / each.serviceTimeMs);
 }
 
-std::vector<dispatcher::candidate> dispatcher::candidatesFor(service_record &serviceRecord, const dispatch_request &request, steady_time now) const
+dispatcher::candidate_set dispatcher::candidatesFor(service_record &serviceRecord, const dispatch_request &request, steady_time now) const
 {
     const auto evacuated = m_evacuated.get();
-    std::vector<candidate> usable;
+    candidate_set set;
+    auto &usable = set.usable;
     std::vector<candidate> ejected;
     double allSlots = 0;
     double ejectedSlots = 0;
@@ -225,11 +235,16 @@
     for (auto &[instance, each] : serviceRecord.trackedUpstreams) {
         const auto &report = each.report;
         const bool excluded = report.state == upstream_state::draining || report.silent || each.misdirected || each.leaving
-            || std::ranges::find(*evacuated, report.domain) != evacuated->end() || std::ranges::find(request.tried, instance) != request.tried.end();
+            || std::ranges::find(*evacuated, report.domain) != evacuated->end();
         const bool regionAllowed = request.allowedRegions.empty() || std::ranges::find(request.allowedRegions, each.region) != request.allowedRegions.end();
         if (excluded || !regionAllowed) {
             continue;
         }
+        const bool isDeferred = now < each.deferredUntil;
+        if (!isDeferred && std::ranges::find(request.tried, instance) != request.tried.end()) {
+            set.triedAccepts = true;
+            continue;
+        }
         candidate entry {
             .upstream = &each,
             .home = each.region == m_options.region,
@@ -243,6 +258,11 @@
             continue;
         }
         allSlots += entry.slots;
+        if (isDeferred) {
+            entry.load = std::max(entry.load, entry.slots);
+            set.deferred.push_back(entry);
+            continue;
+        }
         // After the ejection time, one request at a time probes the upstream.
         const bool probeInFlight = each.ejections > 0 && each.failureRate > ejectionFailureRate && each.inFlight > 0;
         if (now < each.ejectedUntil || probeInFlight) {
@@ -255,18 +275,20 @@
     if (ejectedSlots > maxEjectedFraction * allSlots) {
         usable.insert(usable.end(), ejected.begin(), ejected.end());
     }
-    return usable;
+    return set;
 }
 
-dispatcher::region_loads dispatcher::loadsOf(std::span<const candidate> candidates)
+dispatcher::region_loads dispatcher::loadsOf(const candidate_set &set)
 {
     region_loads loads;
     std::vector<region_name> regions;
-    for (const auto &each : candidates) {
-        (each.home ? loads.home : loads.remote) += each.load;
-        (each.home ? loads.homeSlots : loads.remoteSlots) += each.slots;
-        if (std::ranges::find(regions, each.upstream->region) == regions.end()) {
-            regions.push_back(each.upstream->region);
+    for (const auto *candidates : {&set.usable, &set.deferred}) {
+        for (const auto &each : *candidates) {
+            (each.home ? loads.home : loads.remote) += each.load;
+            (each.home ? loads.homeSlots : loads.remoteSlots) += each.slots;
+            if (std::ranges::find(regions, each.upstream->region) == regions.end()) {
+                regions.push_back(each.upstream->region);
+            }
         }
     }
     loads.regions = static_cast<std::uint32_t>(regions.size());
@@ -275,8 +297,9 @@
 
 dispatch_result dispatcher::choose(service_record &serviceRecord, const dispatch_request &request, steady_time now)
 {
-    auto candidates = candidatesFor(serviceRecord, request, now);
-    const auto loads = loadsOf(candidates);
+    auto set = candidatesFor(serviceRecord, request, now);
+    auto &candidates = set.usable;
+    const auto loads = loadsOf(set);
     serviceRecord.spill.observe(
         {
             .homeLoad = loads.home,
@@ -313,8 +336,8 @@
         serviceRecord.overflowTokens -= chosen->home == spills ? 1 : 0;
         return makeGrant(*chosen, request.service, now);
     }
-    auto refused = makeErrorAnswer(serviceRecord);
-    refused.error = candidates.empty() ? errc::noUpstream : errc::overloaded;
+    auto refused = makeErrorAnswer(serviceRecord, request, deferralOf(set, spills, now));
+    refused.error = candidates.empty() && set.deferred.empty() ? errc::noUpstream : errc::overloaded;
     refused.load = loads.home + loads.remote;
     refused.slots = loads.homeSlots + loads.remoteSlots;
     refused.wait = milliseconds(static_cast<std::int64_t>(waitMs));
@@ -401,12 +424,35 @@
     return cold.coldLimiter.used(now) < cold.coldLimiter.limit();
 }
 
-// Jitter spreads the retries of callers that are rejected together over the time that a slot takes to become free.
-dispatch_refusal dispatcher::makeErrorAnswer(const service_record &serviceRecord) const
+// Returns the time until the first upstream accepts requests again when all upstreams for the request, or all on the side to which it is
+// assigned, are deferred; 0 otherwise.
+milliseconds dispatcher::deferralOf(const candidate_set &set, bool spills, steady_time now)
+{
+    const auto isAssigned = [spills](const candidate &each) { return each.home != spills; };
+    if (set.triedAccepts || std::ranges::any_of(set.usable, isAssigned)) {
+        return milliseconds(0);
+    }
+    steady_time end = steady_time::max();
+    for (const auto &each : set.deferred) {
+        if (set.usable.empty() || isAssigned(each)) {
+            end = std::min(end, each.upstream->deferredUntil);
+        }
+    }
+    return end == steady_time::max() ? milliseconds(0) : std::chrono::ceil<milliseconds>(end - now);
+}
+
+// Jitter spreads the retries of callers that are rejected together over the time that a slot takes to become free. A deferral that lasts
+// longer than the caller waits is not told in full: another host may serve the retry.
+dispatch_refusal dispatcher::makeErrorAnswer(const service_record &serviceRecord, const dispatch_request &request, milliseconds deferral) const
 {
     const double usualServiceTimeMs = serviceRecord.serviceTimeMs > 0 ? serviceRecord.serviceTimeMs : defaultServiceTimeMs;
     const double jitter = static_cast<double>(m_random.below(1000)) / 1000;
-    const double delayMs = std::clamp(usualServiceTimeMs * (0.5 + jitter), minRetryAfterMs, maxRetryAfterMs);
+    double delayMs = std::clamp(usualServiceTimeMs * (0.5 + jitter), minRetryAfterMs, maxRetryAfterMs);
+    if (deferral > milliseconds(0)) {
+        const auto wantedMs = static_cast<double>(deferral.count()) + usualServiceTimeMs * jitter;
+        const auto limitMs = deferral < request.remaining ? static_cast<double>(request.remaining.count()) : maxRetryAfterMs;
+        delayMs = std::max(minRetryAfterMs, std::min(wantedMs, limitMs));
+    }
     return {.error = errc::overloaded, .retryAfter = milliseconds(static_cast<std::int64_t>(delayMs))};
 }
 
@@ -487,6 +533,20 @@
     });
 }
 
+bool dispatcher::defer(const dispatch_grant &grant, milliseconds retryAfter)
+{
+    const auto now = m_clock.now();
+    const auto until = now + retryAfter;
+    return m_records.with(stableHash(grant.service.view()), [&](service_records &all) {
+        auto *tracked = trackedUpstreamOf(recordOf(all, grant.service), grant);
+        if (tracked == nullptr || until <= std::max(now, tracked->deferredUntil)) {
+            return false;
+        }
+        tracked->deferredUntil = until;
+        return true;
+    });
+}
+
 void dispatcher::markCold(const service_name &service, const instance_name &instance, milliseconds left)
 {
     const auto now = m_clock.now();
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -147,11 +147,17 @@
         CAPTURE(bad);
         REQUIRE_FALSE(headerCodec.decodeRequest(map_header_view(fields {{"Deadline-Ms", bad}})).callerTimeout);
         REQUIRE_FALSE(headerCodec.decodeResponse(map_header_view(fields {{"Warmup-Ms", bad}})).warmupRemaining);
+        REQUIRE_FALSE(headerCodec.decodeResponse(map_header_view(fields {{"Retry-After", bad}})).retryAfter);
     }
+    REQUIRE_FALSE(headerCodec.decodeResponse(map_header_view(fields {{"Retry-After", "Fri, 04 Dec 2026 23:59:59 GMT"}})).retryAfter);
+    REQUIRE(headerCodec.decodeResponse(map_header_view(fields {{"Retry-After", "2"}})).retryAfter == milliseconds(2000));
+    // A fraction of a millisecond is waited for.
+    REQUIRE(headerCodec.decodeResponse(map_header_view(fields {{"Retry-After", "0.2501"}})).retryAfter == milliseconds(251));
     for (const auto *tooLong : {"86400001", "9223372036854775808", "1e300"}) {
         CAPTURE(tooLong);
         REQUIRE(headerCodec.decodeRequest(map_header_view(fields {{"Deadline-Ms", tooLong}})).callerTimeout == std::chrono::hours(24));
         REQUIRE(headerCodec.decodeResponse(map_header_view(fields {{"Warmup-Ms", tooLong}})).warmupRemaining == std::chrono::hours(24));
+        REQUIRE(headerCodec.decodeResponse(map_header_view(fields {{"Retry-After", tooLong}})).retryAfter == std::chrono::hours(24));
     }
     std::string header;
     headerCodec.encodeForUpstream({.instance = instance_name("i-7"), .timeLeft = milliseconds(900)}, header);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -693,3 +693,122 @@
     fixture.steering.setUpstreams(reportsOf({&upstream}, 1, 1));
     REQUIRE(caller(fixture).exchange("GET", "/once/2").result_int() == 200);
 }
+
+// An instance that turns a request away with 503 and Retry-After wants nothing from this host for so long; more than two requests that
+// reach it before then break a rule.
+TEST_CASE("relay: an upstream that answers 503 with Retry-After gets no request before then", "[relay]")
+{
+    const auto [name, head] = GENERATE(table<std::string, std::string>({
+        {"refusal", "HTTP/1.1 503 Busy\r\nNot-Executed: full\r\nRetry-After: 60\r\n"},
+        {"refusal without the stamp", "HTTP/1.1 503 Busy\r\nRetry-After: 60\r\n"},
+        {"failure", "HTTP/1.1 503 Busy\r\nServer-Stamp: mark\r\nRetry-After: 59.5\r\n"},
+        {"late response to an earlier request", "HTTP/1.1 503 Busy\r\nRequest-Id: earlier\r\nNot-Executed: full\r\nRetry-After: 60\r\n"},
+    }));
+    CAPTURE(name);
+    const bool isLate = name.starts_with("late");
+    scripted_upstream busy([head = head, isLate](const received_request &request, scripted_upstream::socket &to) {
+        const auto id = isLate ? std::string() : "Request-Id: " + request.field("Request-Id") + "\r\n";
+        scripted_upstream::write(to, head + id + "Content-Length: 0\r\n\r\n" + (isLate ? scripted_upstream::answer(request, "x") : std::string()));
+        return true;
+    });
+    scripted_upstream other(echo);
+    relay_fixture fixture({&busy});
+    caller(fixture).exchange("GET", "/once/0");
+    REQUIRE(busy.requests() == 1);
+    for (int round = 1; round <= 12; ++round) {
+        fixture.steering.setUpstreams(reportsOf({&busy, &other}, 1, round));
+        // Each caller has a connection of its own, so that all threads of the relay take part.
+        REQUIRE(caller(fixture).exchange("GET", "/once/" + std::to_string(round)).body().starts_with("from"));
+    }
+    REQUIRE(busy.requests() == 1);
+    fixture.steering.setUpstreams(reportsOf({&busy}, 2));
+    caller(fixture).exchange("GET", "/once/again");
+    REQUIRE(busy.requests() == 2);
+}
+
+TEST_CASE("relay: an upstream gets requests again when the time of its Retry-After has passed", "[relay]")
+{
+    scripted_upstream busy([](const received_request &request, scripted_upstream::socket &to) {
+        scripted_upstream::write(
+            to, "HTTP/1.1 503 Busy\r\nRequest-Id: " + request.field("Request-Id") + "\r\nNot-Executed: full\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    });
+    relay_fixture fixture({&busy});
+    const auto startedAt = std::chrono::steady_clock::now();
+    REQUIRE(eventually([&] {
+        caller(fixture).exchange("GET", "/once/1");
+        return busy.requests() == 2;
+    }));
+    REQUIRE(std::chrono::steady_clock::now() - startedAt >= milliseconds(500));
+}
+
+TEST_CASE("relay: while the only upstream wants no requests they are refused at once as not run, and told when to return", "[relay]")
+{
+    const auto [retryAfter, shortest, longest] = GENERATE(table<std::string, double, double>({
+        {"1", 0.5, 1.5},
+        // Longer than the callers wait.
+        {"3600", 1, 2.5},
+        {"1e300", 1, 2.5},
+    }));
+    CAPTURE(retryAfter);
+    scripted_upstream busy([retryAfter = retryAfter](const received_request &request, scripted_upstream::socket &to) {
+        scripted_upstream::write(to,
+                                 "HTTP/1.1 503 Busy\r\nRequest-Id: " + request.field("Request-Id") + "\r\nNot-Executed: full\r\nRetry-After: " + retryAfter
+                                     + "\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    });
+    relay_fixture fixture({&busy});
+    for (int i = 0; i < 6; ++i) {
+        const auto refused = caller(fixture).exchange("POST", "/once/" + std::to_string(i), "", "x");
+        REQUIRE(refused.result_int() == 503);
+        const auto wait = std::stod(std::string(refused["Retry-After"]));
+        REQUIRE(wait >= shortest);
+        REQUIRE(wait <= longest);
+    }
+    REQUIRE(busy.requests() == 1);
+}
+
+TEST_CASE("relay: a Retry-After that is no time, or comes with another status, keeps no request from an upstream", "[relay]")
+{
+    const auto head
+        = GENERATE(as<std::string> {}, "503 Busy\r\nRetry-After: Fri, 04 Dec 2026 23:59:59 GMT", "503 Busy\r\nRetry-After: -5", "503 Busy\r\nRetry-After: 0",
+                   "503 Busy\r\nRetry-After: nan", "429 Busy\r\nRetry-After: 60", "200 OK\r\nRetry-After: 60", "421 Other\r\nRetry-After: 60");
+    CAPTURE(head);
+    std::atomic<bool> first {true};
+    scripted_upstream upstream([&](const received_request &request, scripted_upstream::socket &to) {
+        if (!first.exchange(false)) {
+            return echo(request, to);
+        }
+        scripted_upstream::write(to,
+                                 "HTTP/1.1 " + head + "\r\nRequest-Id: " + request.field("Request-Id") + "\r\nServer-Stamp: mark\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    });
+    relay_fixture fixture({&upstream});
+    caller(fixture).exchange("POST", "/once/1", "", "x");
+    // A 421 ends the use of the upstream until it reports again.
+    fixture.steering.setUpstreams(reportsOf({&upstream}, 1, 1));
+    REQUIRE(caller(fixture).exchange("POST", "/once/2", "", "x").result_int() == 200);
+}
+
+TEST_CASE("relay: requests in progress at an upstream that wants no more are answered", "[relay]")
+{
+    std::promise<void> reached;
+    std::promise<void> released;
+    scripted_upstream upstream([&](const received_request &request, scripted_upstream::socket &to) {
+        if (request.line().find("/once/slow") != std::string::npos) {
+            reached.set_value();
+            released.get_future().wait();
+            return echo(request, to);
+        }
+        scripted_upstream::write(
+            to, "HTTP/1.1 503 Busy\r\nRequest-Id: " + request.field("Request-Id") + "\r\nNot-Executed: full\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    });
+    relay_fixture fixture({&upstream});
+    auto slow = std::async(std::launch::async, [&] { return caller(fixture).exchange("GET", "/once/slow").result_int(); });
+    reached.get_future().wait();
+    const auto refused = caller(fixture).exchange("GET", "/once/1").result_int();
+    released.set_value();
+    REQUIRE(slow.get() == 200);
+    REQUIRE(refused == 503);
+}
--- a/tests/steering/dispatcher_test.cpp
+++ b/tests/steering/dispatcher_test.cpp
@@ -1,7 +1,10 @@
 #include "fakes/manual_clock.h"
 #include "steering/dispatcher.h"
 
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 #include <set>
 
 using namespace hornbeampick;
@@ -284,3 +287,256 @@
     REQUIRE_FALSE(fixture.subject.markLeaving(fixture.grants.back()));
     REQUIRE(fixture.take(dispatcher_fixture::request()) == "a");
 }
+
+// A 503 with Retry-After is the upstream's own wish and no guess of this host, unlike an ejection, which is ignored when most slots
+// are ejected.
+TEST_CASE("dispatcher: upstreams that want no requests for some time get none, however many they are", "[dispatcher]")
+{
+    dispatcher_fixture fixture;
+    fixture.announce({upstreamOf("a", "home-a"), upstreamOf("b", "home-a"), upstreamOf("c", "far-a")});
+    for (const auto *name : {"a", "b", "c"}) {
+        CAPTURE(name);
+        REQUIRE(fixture.subject.defer({.service = service, .instance = instance_name(name), .incarnation = 1}, milliseconds(2000)));
+    }
+    for (int i = 0; i < 199; ++i) {
+        REQUIRE(fixture.take(dispatcher_fixture::request(i)).empty());
+        REQUIRE(fixture.refusals.back().error == errc::overloaded);
+        fixture.clock.advance(milliseconds(10));
+        fixture.upstreams.front().report.reportedAt = i + 2;
+        fixture.subject.setUpstreams(fixture.upstreams);
+    }
+    fixture.clock.advance(milliseconds(10));
+    REQUIRE_FALSE(fixture.take(dispatcher_fixture::request()).empty());
+}
+
+TEST_CASE("dispatcher: a shorter Retry-After does not shorten an earlier one, a longer one does lengthen it", "[dispatcher]")
+{
+    dispatcher_fixture fixture;
+    fixture.announce({upstreamOf("a", "home-a")});
+    REQUIRE(fixture.take(dispatcher_fixture::request()) == "a");
+    const auto grant = fixture.grants.back();
+    REQUIRE_FALSE(fixture.subject.defer(grant, milliseconds(0)));
+    REQUIRE(fixture.subject.defer(grant, milliseconds(1000)));
+    fixture.clock.advance(milliseconds(100));
+    REQUIRE_FALSE(fixture.subject.defer(grant, milliseconds(300)));
+    fixture.clock.advance(milliseconds(800));
+    REQUIRE(fixture.take(dispatcher_fixture::request()).empty());
+    REQUIRE(fixture.subject.defer(grant, milliseconds(500)));
+    fixture.clock.advance(milliseconds(499));
+    REQUIRE(fixture.take(dispatcher_fixture::request()).empty());
+    fixture.clock.advance(milliseconds(1));
+    REQUIRE(fixture.take(dispatcher_fixture::request()) == "a");
+}
+
+TEST_CASE("dispatcher: a Retry-After ends with the incarnation that sent it", "[dispatcher]")
+{
+    dispatcher_fixture fixture;
+    fixture.announce({upstreamOf("a", "home-a")});
+    REQUIRE(fixture.take(dispatcher_fixture::request()) == "a");
+    REQUIRE(fixture.subject.defer(fixture.grants.back(), milliseconds(60000)));
+    REQUIRE(fixture.take(dispatcher_fixture::request()).empty());
+    fixture.upstreams.front().report.incarnation = 2;
+    fixture.subject.setUpstreams(fixture.upstreams);
+    REQUIRE_FALSE(fixture.subject.defer(fixture.grants.front(), milliseconds(60000)));
+    REQUIRE(fixture.take(dispatcher_fixture::request()) == "a");
+}
+
+TEST_CASE("dispatcher: when all upstreams for a request are deferred, it is told when the first accepts requests again", "[dispatcher]")
+{
+    dispatcher_fixture fixture;
+    fixture.announce({upstreamOf("a", "home-a"), upstreamOf("b", "home-b"), upstreamOf("c", "far-a")});
+    const auto deferFor = [&](std::string_view name, milliseconds wait) {
+        REQUIRE(fixture.subject.defer({.service = service, .instance = instance_name(name), .incarnation = 1}, wait));
+    };
+    deferFor("a", milliseconds(1800));
+    deferFor("b", milliseconds(1200));
+    deferFor("c", milliseconds(700));
+    const std::vector home {region_name("home")};
+    const std::vector tried {instance_name("b")};
+    std::set<milliseconds> times;
+    for (int i = 0; i < 20; ++i) {
+        // The upstream that made the request wait can serve its next attempt.
+        auto wanted = dispatcher_fixture::request();
+        wanted.allowedRegions = home;
+        wanted.tried = tried;
+        REQUIRE(fixture.take(wanted).empty());
+        times.insert(fixture.refusals.back().retryAfter);
+    }
+    REQUIRE(*times.begin() >= milliseconds(1200));
+    REQUIRE(*times.rbegin() <= milliseconds(1500));
+    // Requests that are rejected together get different retry times.
+    REQUIRE(times.size() > 5);
+    REQUIRE(fixture.take(dispatcher_fixture::request()).empty());
+    REQUIRE(fixture.refusals.back().retryAfter >= milliseconds(700));
+    REQUIRE(fixture.refusals.back().retryAfter <= milliseconds(1000));
+    // A caller that does not wait that long may find another host that can serve it.
+    auto impatient = dispatcher_fixture::request();
+    impatient.remaining = milliseconds(600);
+    REQUIRE(fixture.take(impatient).empty());
+    REQUIRE(fixture.refusals.back().retryAfter <= milliseconds(1500));
+    deferFor("c", milliseconds(3600000));
+    deferFor("b", milliseconds(3600000));
+    deferFor("a", milliseconds(3600000));
+    REQUIRE(fixture.take(dispatcher_fixture::request()).empty());
+    REQUIRE(fixture.refusals.back().retryAfter <= milliseconds(1500));
+}
+
+TEST_CASE("dispatcher: an upstream that was tried and is not deferred bounds the time to return", "[dispatcher]")
+{
+    dispatcher_fixture fixture;
+    fixture.announce({upstreamOf("a", "home-a"), upstreamOf("b", "home-a")});
+    REQUIRE(fixture.subject.defer({.service = service, .instance = instance_name("a"), .incarnation = 1}, milliseconds(1900)));
+    const std::vector tried {instance_name("b")};
+    auto wanted = dispatcher_fixture::request();
+    wanted.tried = tried;
+    REQUIRE(fixture.take(wanted).empty());
+    REQUIRE(fixture.refusals.back().retryAfter < milliseconds(500));
+}
+
+// Upstreams that answer 503 with Retry-After are full, not gone: if their region had no slots at all, all its requests would go to other
+// regions at once and return as suddenly.
+TEST_CASE("dispatcher: while all upstreams of the region are deferred its requests leave only in small steps", "[dispatcher]")
+{
+    dispatcher_fixture fixture;
+    fixture.subject.setHostsInRegion(1);
+    fixture.announce({upstreamOf("a", "home-a", 50), upstreamOf("b", "home-b", 50), upstreamOf("c", "far-a", 200)});
+    const auto shareThatLeaves = [&](int requests) {
+        int left = 0;
+        for (int i = 0; i < requests; ++i) {
+            const auto taken = fixture.take(dispatcher_fixture::request(i));
+            left += taken == "c" ? 1 : 0;
+            if (!taken.empty()) {
+                fixture.finish(dispatch_outcome::answered);
+            }
+            fixture.clock.advance(milliseconds(10));
+        }
+        return static_cast<double>(left) / requests;
+    };
+    REQUIRE(shareThatLeaves(200) == 0);
+    for (const auto *name : {"a", "b"}) {
+        REQUIRE(fixture.subject.defer({.service = service, .instance = instance_name(name), .incarnation = 1}, milliseconds(2000)));
+    }
+    const auto share = shareThatLeaves(200);
+    REQUIRE(share > 0);
+    REQUIRE(share < 0.15);
+    REQUIRE(shareThatLeaves(200) < 0.15);
+}
+
+TEST_CASE("dispatcher: a deferred upstream counts among those that do not fail", "[dispatcher]")
+{
+    dispatcher_fixture fixture;
+    fixture.announce({upstreamOf("a", "home-a"), upstreamOf("b", "home-a"), upstreamOf("c", "home-a")});
+    const auto failing = fixture.take(dispatcher_fixture::request());
+    fixture.finish(dispatch_outcome::unreachable);
+    for (const auto *name : {"a", "b", "c"}) {
+        if (name != failing) {
+            REQUIRE(fixture.subject.defer({.service = service, .instance = instance_name(name), .incarnation = 1}, milliseconds(900)));
+        }
+    }
+    REQUIRE(fixture.take(dispatcher_fixture::request()).empty());
+    fixture.clock.advance(milliseconds(900));
+    const auto taken = fixture.take(dispatcher_fixture::request());
+    REQUIRE_FALSE(taken.empty());
+    REQUIRE(taken != failing);
+}
+
+namespace
+{
+
+// Drives a dispatcher with random reports, responses and requests, and compares its choices with a model of what upstreams have stated in
+// their responses.
+class statements_model
+{
+public:
+    explicit statements_model(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    void step()
+    {
+        const auto chosen = m_random.below(names.size());
+        auto &upstream = m_upstreams.at(chosen);
+        const dispatch_grant grant {.service = service, .instance = instance_name(names.at(chosen)), .incarnation = upstream.incarnation};
+        switch (m_random.below(8)) {
+        case 0:
+            m_fixture.subject.markLeaving(grant);
+            upstream.leaving = true;
+            break;
+        case 1: {
+            const milliseconds wait(m_random.below(3000));
+            m_fixture.subject.defer(grant, wait);
+            upstream.deferredUntil = std::max(upstream.deferredUntil, m_fixture.clock.now() + wait);
+            break;
+        }
+        case 2:
+            if (m_random.below(3) == 0) {
+                upstream = {.incarnation = upstream.incarnation + 1};
+            }
+            report(chosen);
+            break;
+        case 3:
+            m_fixture.clock.advance(milliseconds(m_random.below(400)));
+            break;
+        default:
+            take();
+            break;
+        }
+    }
+
+    void start()
+    {
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            report(i);
+        }
+    }
+
+private:
+    static constexpr std::array<std::string_view, 4> names {"a", "b", "c", "d"};
+    struct upstream_model {
+        std::uint64_t incarnation = 1;
+        bool leaving = false;
+        steady_time deferredUntil {};
+    };
+
+    void report(std::size_t which)
+    {
+        auto known = upstreamOf(names.at(which), "home-a");
+        known.report.incarnation = m_upstreams.at(which).incarnation;
+        known.report.reportedAt = ++m_reports;
+        m_fixture.subject.setUpstreams(std::vector {known});
+    }
+
+    void take()
+    {
+        const auto now = m_fixture.clock.now();
+        const auto accepts = [now](const upstream_model &each) { return !each.leaving && each.deferredUntil <= now; };
+        const auto taken = m_fixture.take(dispatcher_fixture::request(m_random.below(10)));
+        if (taken.empty()) {
+            RC_ASSERT(std::ranges::none_of(m_upstreams, accepts));
+            return;
+        }
+        const auto which = static_cast<std::size_t>(std::ranges::find(names, taken) - names.begin());
+        RC_ASSERT(accepts(m_upstreams.at(which)));
+        const std::array ends {dispatch_outcome::answered, dispatch_outcome::abandoned};
+        m_fixture.finish(ends.at(m_random.below(ends.size())));
+    }
+
+    seeded_random_source m_random;
+    dispatcher_fixture m_fixture;
+    std::array<upstream_model, names.size()> m_upstreams {};
+    wall_ms m_reports = 0;
+};
+
+} // namespace
+
+TEST_CASE("dispatcher: no upstream gets a request that it has said it does not want", "[dispatcher][property]")
+{
+    CHECK(rc::check("dispatcher against its model of statements", [](std::uint64_t seed) {
+        statements_model model(seed);
+        model.start();
+        for (int i = 0; i < 300; ++i) {
+            model.step();
+        }
+    }));
+}
