--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -3,6 +3,7 @@
 #include "body_reader.h"
 #include "core/text.h"
 #include "message_head.h"
+#include "observe/log.h"
 #include "peer_fields.h"
 
 #include <array>
@@ -221,6 +222,10 @@
         }
         const auto metadata = m_parts.headerCodec.decodeResponse(beast_header_view(response.parser->get()));
         const bool isMatching = metadata.id == context.id;
+        const bool isMisdirected = response.status() == static_cast<unsigned>(http::status::misdirected_request);
+        if (!isMisdirected) {
+            recordUpstreamState(context, grant, response, metadata, outcome);
+        }
         const bool isIntact = co_await bufferBody(response);
         if (!isMatching) {
             // This is a late response to an earlier request; the matching one may still follow.
@@ -233,10 +238,9 @@
         }
         outcome.load = metadata.load;
         outcome.warmupRemaining = metadata.warmupRemaining;
-        if (metadata.notRun || response.status() == static_cast<unsigned>(http::status::misdirected_request)) {
+        if (metadata.notRun || isMisdirected) {
             outcome.mayHaveRun = false;
-            outcome.end
-                = response.status() == static_cast<unsigned>(http::status::misdirected_request) ? dispatch_outcome::misdirected : dispatch_outcome::shed;
+            outcome.end = isMisdirected ? dispatch_outcome::misdirected : dispatch_outcome::shed;
         } else if (!isIntact || !metadata.hasServerStamp) {
             outcome.end = dispatch_outcome::broke;
             co_return;
@@ -257,6 +261,27 @@
     outcome.end = dispatch_outcome::broke;
 }
 
+// Called as soon as the header has been read, because the body can take long, and for late responses to earlier requests as well: the
+// connection belongs to one incarnation.
+void upstream_attempt::recordUpstreamState(const request_context &context, const dispatch_grant &grant, const upstream_response &response,
+                                           const response_metadata &metadata, attempt_outcome &outcome)
+{
+    if (metadata.isLeaving && m_parts.dispatch.markLeaving(grant)) {
+        logRateLimited(log_level::info, "upstream-leaving",
+                       {{"request", context.id}, {"instance", grant.instance.string()}, {"service", grant.service.string()}});
+    }
+    if (response.status() == static_cast<unsigned>(http::status::service_unavailable) && metadata.retryAfter) {
+        outcome.retryAfter = metadata.retryAfter;
+        if (m_parts.dispatch.defer(grant, *metadata.retryAfter)) {
+            logRateLimited(log_level::info, "upstream-deferred",
+                           {{"request", context.id},
+                            {"instance", grant.instance.string()},
+                            {"service", grant.service.string()},
+                            {"forMs", static_cast<std::int64_t>(metadata.retryAfter->count())}});
+        }
+    }
+}
+
 // Buffers the body up to the limit. Returns false when it is truncated.
 asio::awaitable<bool> upstream_attempt::bufferBody(upstream_response &response)
 {
