replica: complete the calls that arrive while and after a node stops

What callers saw: a control host that got SIGTERM did not end, and was killed at the end of its grace period, when another host sent it a formation call while it stopped. An order or read that reached the replica in that time got no answer. Cause: the replica's thread ends, but the RPC and HTTP servers still take calls for 100 ms and more. Such a call went into an inbox that nobody reads; its reactor was never finished, and the server's stop waits for it. Found by reading. Class: work accepted by a part that ends before it can finish it. Fix: the node closes its inbox under the lock when its thread ends. What is left in it, and what arrives later, is completed with an empty formation reply, or with notLeader, which says that the entry was certainly not accepted; callers of notLeader already try another host.

--- a/include/replica/replica_node.h
+++ b/include/replica/replica_node.h
@@ -29,10 +29,10 @@
     void stop();
 
     void receive(replica_message message);
-    /// `done` is called from the replica's thread; with an empty reply when the replica has stopped.
+    /// `done` is called once, from the replica's thread; after the node has stopped, from the caller's thread with an empty reply.
     void receiveForm(form_request request, std::function<void(const form_reply &)> done);
-    /// `done` is called once, from the replica's thread, unless the node has stopped before: with ok, versionConflict, notLeader (certainly not accepted) or
-    /// noQuorum (acceptance not confirmed).
+    /// `done` is called once, from the replica's thread: with ok, versionConflict, notLeader (certainly not accepted) or noQuorum (acceptance not confirmed).
+    /// After the node has stopped, it is called from the caller's thread with notLeader.
     void submit(entry_body body, submit_done done);
     [[nodiscard]] replica_view view() const;
 
@@ -49,6 +49,10 @@
 
     void run();
     void handle(work_item &item);
+    // Completes a call that the engine has not seen.
+    static void refuse(work_item &item);
+    // Refuses what the inbox holds and everything that arrives later.
+    void closeInbox();
     void push(work_item item);
     void publishView();
 
@@ -60,6 +64,7 @@
     std::condition_variable m_wake;
     std::deque<work_item> m_inbox;
     bool m_stopping = false;
+    bool m_inboxClosed = false;
     replica_view m_view;
 
     std::thread m_thread;
--- a/src/replica/replica_node.cpp
+++ b/src/replica/replica_node.cpp
@@ -33,6 +33,8 @@
     if (m_thread.joinable()) {
         m_thread.join();
     }
+    // The thread closes the inbox itself, unless it was never started.
+    closeInbox();
 }
 
 void replica_node::receive(replica_message message)
@@ -79,6 +81,7 @@
     m_engine.transferLeadership();
     m_engine.processOutput();
     m_engine.failPendingSubmits();
+    closeInbox();
 }
 
 void replica_node::handle(work_item &item)
@@ -98,13 +101,39 @@
                item);
 }
 
+void replica_node::refuse(work_item &item)
+{
+    if (auto *formCall = std::get_if<form_call>(&item)) {
+        formCall->done({});
+    } else if (auto *submitCall = std::get_if<submit_call>(&item)) {
+        submitCall->done({.error = errc::notLeader, .version = 0, .winner = {}, .winnerOperator = {}});
+    }
+}
+
+void replica_node::closeInbox()
+{
+    std::deque<work_item> left;
+    {
+        const std::lock_guard guard(m_lock);
+        m_inboxClosed = true;
+        left.swap(m_inbox);
+    }
+    for (auto &item : left) {
+        refuse(item);
+    }
+}
+
 void replica_node::push(work_item item)
 {
     {
         const std::lock_guard guard(m_lock);
-        m_inbox.push_back(std::move(item));
+        if (!m_inboxClosed) {
+            m_inbox.push_back(std::move(item));
+            m_wake.notify_all();
+            return;
+        }
     }
-    m_wake.notify_all();
+    refuse(item);
 }
 
 void replica_node::publishView()
--- a/tests/fakes/node_fleet.cpp
+++ b/tests/fakes/node_fleet.cpp
@@ -194,6 +194,11 @@
     return endpointText(ipOf("control-" + std::to_string(host)), m_port + controlOffset);
 }
 
+std::string node_fleet::rpc(std::size_t host) const
+{
+    return endpointText(ipOf("control-" + std::to_string(host)), m_port + rpcOffset);
+}
+
 std::string node_fleet::directory(std::size_t host) const
 {
     return endpointText(ipOf("control-" + std::to_string(host)), m_port + directoryOffset);
--- a/tests/fakes/node_fleet.h
+++ b/tests/fakes/node_fleet.h
@@ -64,6 +64,8 @@
 
     [[nodiscard]] std::string control(std::size_t host) const;
     [[nodiscard]] std::string directory(std::size_t host) const;
+    /// Returns the address at which other hosts call a control host.
+    [[nodiscard]] std::string rpc(std::size_t host) const;
     [[nodiscard]] std::string front(std::size_t host) const;
     [[nodiscard]] std::string readiness(std::size_t host) const;
     /// Returns the proxy in front of a control host. Requires node_fleet_options::proxies.
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -2,6 +2,8 @@
 
 #include "fakes/node_fleet.h"
 #include "fakes/scripted_upstream.h"
+#include "replica/formation.h"
+#include "rpc/control_client.h"
 #include "soak/fault_block.h"
 
 #include <atomic>
@@ -460,3 +462,25 @@
         REQUIRE(awaitCondition([&] { return callHttp(fixture.fleet.control(i), "GET", "/-/Config.Get").status == 200; }));
     }
 }
+
+// A formation call that arrived after the replica's thread had ended was never answered, and the process waited for it for ever.
+TEST_CASE("nodes: a control host ends although formation calls arrive while it stops", "[integration][nodes]")
+{
+    using namespace hornbeampick;
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    const auto client = makeGrpcControlClient({.certificate = {}, .key = {}, .authority = {}, .plainText = true}, nullptr);
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    fixture.fleet.signal("control-0", SIGTERM);
+    for (int i = 0; i < 20; ++i) {
+        std::this_thread::sleep_for(milliseconds(10));
+        client->form(fixture.fleet.rpc(0), {.sender = {.host = host_name("x"), .disk = 7, .address = "127.0.0.1:1"}, .config = std::nullopt, .join = false},
+                     [](const form_reply &) {});
+    }
+    while (fixture.fleet.isRunning("control-0") && std::chrono::steady_clock::now() - stoppedAt < seconds(4)) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    client->cancelAll();
+    CHECK_FALSE(fixture.fleet.isRunning("control-0"));
+    fixture.fleet.kill("control-0");
+}
