nodes: an entry host that drains stays out of look-ups

What callers saw: an entry host that got SIGTERM before it had heard of any upstream was named in look-ups for the rest of its grace period. Cause: the first complete state sets `serving`, also when it arrives after the drain began, and so takes back the withdrawal that the drain had reported. Fix: stopServing is final; a state that arrives later does not announce the host.

--- a/src/node/control_watch.cpp
+++ b/src/node/control_watch.cpp
@@ -49,10 +49,16 @@
     }
 }
 
+void control_watch::stopServing()
+{
+    asio::post(m_context, [this] { m_servingStopped = true; });
+    setServing(false);
+}
+
 void control_watch::setServing(bool serving)
 {
     asio::post(m_context, [this, serving] {
-        m_self.serving = serving;
+        m_self.serving = serving && !m_servingStopped;
         for (const auto &[address, host] : m_controlHosts) {
             asio::co_spawn(
                 m_context,
--- a/src/node/control_watch.h
+++ b/src/node/control_watch.h
@@ -48,8 +48,8 @@
     void start();
     /// Adds control hosts to poll; known addresses are ignored.
     void addSeeds(std::span<const std::string> addresses);
-    /// Immediately reports to all control hosts whether this host serves callers.
-    void setServing(bool serving);
+    /// Immediately reports to all control hosts that this host no longer serves callers. Final: later answers do not change it.
+    void stopServing();
     /// Queues an upstream's death for the next poll of each control host. Thread-safe.
     void reportDeath(const upstream_death &death);
 
@@ -68,6 +68,8 @@
         bool reachable = false;
     };
 
+    // Immediately reports to all control hosts whether this host serves callers.
+    void setServing(bool serving);
     boost::asio::awaitable<void> pollLoop(std::string address);
     boost::asio::awaitable<bool> poll(const std::string &address, milliseconds wait);
     void applyAnswer(const std::string &address, const watch_answer &answer);
@@ -80,6 +82,7 @@
     upstream_directory m_directory;
     log_index m_appliedIndex = 0;
     entry_host m_self;
+    bool m_servingStopped = false;
     std::atomic<bool> m_hasInitialState {false};
     bool m_upstreamsKnown = false;
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -146,7 +146,7 @@
         const auto startedAt = m_clock.now();
         m_stopping = true;
         logEvent(log_level::info, "stopping", {{"active", static_cast<std::int64_t>(m_relay->activeRequests())}});
-        m_controlWatch.setServing(false);
+        m_controlWatch.stopServing();
         const auto &deployment = m_settings->deployment();
         const drain_schedule schedule({.grace = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(deployment.grace_s())),
                                        .lookupLifetime = milliseconds(deployment.lookup_ttl_ms())},
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -484,3 +484,31 @@
     CHECK_FALSE(fixture.fleet.isRunning("control-0"));
     fixture.fleet.kill("control-0");
 }
+
+// An entry host that was stopped before it had polled any control host announced itself with the first answer, while it drained.
+TEST_CASE("nodes: an entry host that is stopped before it knows any upstream is never named in look-ups", "[integration][nodes]")
+{
+    using std::chrono::milliseconds;
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    const std::vector<std::string> controlHosts {"control-0", "control-1", "control-2"};
+    fixture.fleet.signal("entry-0", SIGTERM);
+    REQUIRE(fixture.fleet.awaitExit("entry-0") == 0);
+    REQUIRE_FALSE(fixture.isNamed(0));
+    for (const auto &name : controlHosts) {
+        fixture.fleet.signal(name, SIGSTOP);
+    }
+    fixture.fleet.start("entry-0");
+    REQUIRE(awaitCondition([&] { return callHttp(fixture.fleet.readiness(0), "GET", "/-/readyz").status == 503; }));
+    fixture.fleet.signal("entry-0", SIGTERM);
+    std::this_thread::sleep_for(milliseconds(100));
+    for (const auto &name : controlHosts) {
+        fixture.fleet.signal(name, SIGCONT);
+    }
+    bool isNamed = false;
+    while (fixture.fleet.isRunning("entry-0")) {
+        isNamed = isNamed || fixture.isNamed(0);
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    REQUIRE_FALSE(isNamed);
+}
