nodes: a control host answers the calls in progress before it ends

What callers saw: an upstream whose deregistration waited for entry hosts when its control host was stopped got a closed connection instead of a yes or 503. Cause: after the hand-over of leadership the process ended 100 ms later without a look at the calls in progress; a deregistration may wait for 0.7 s. Fix: leadership is handed over first, as before; then the process waits until no call is in progress, for at most 1.5 s. Entry hosts go on polling in that time, so that a deregistration can still be acknowledged and saved. `drained` tells how many calls were left.

--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -40,6 +40,9 @@
 constexpr milliseconds leaderHeartbeatInterval {100};
 // Delay after the transfer of leadership, in which the last messages are still sent.
 constexpr milliseconds leadershipTransferDelay {100};
+// Longer than `confirmTimeout` and a retried save, so that the calls in progress are answered.
+constexpr milliseconds drainTimeout {1500};
+constexpr milliseconds drainPollInterval {20};
 constexpr milliseconds rpcShutdownGrace {300};
 
 class control_node final : public node, public control_api, public control_handler, public replica_transport, public ledger_listener
@@ -326,7 +329,14 @@
                 logEvent(log_level::info, "reload");
             }
         }
-        logEvent(log_level::info, "stopping");
+        co_await drain();
+    }
+
+    // Shuts down gracefully: first leadership passes to another host, then the calls in progress get their answers.
+    asio::awaitable<void> drain()
+    {
+        const auto startedAt = m_clock.now();
+        logEvent(log_level::info, "stopping", {{"active", static_cast<std::int64_t>(activeCalls())}});
         m_controlServer->drain();
         if (m_directoryServer) {
             m_directoryServer->drain();
@@ -334,9 +344,21 @@
         m_replica->stop();
         asio::steady_timer timer(co_await asio::this_coro::executor, leadershipTransferDelay);
         co_await timer.async_wait(noThrow);
+        while (m_clock.now() < startedAt + drainTimeout && activeCalls() > 0) {
+            timer.expires_after(drainPollInterval);
+            co_await timer.async_wait(noThrow);
+        }
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(m_clock.now() - startedAt);
+        logEvent(log_level::info, "drained",
+                 {{"milliseconds", static_cast<std::int64_t>(elapsed.count())}, {"active", static_cast<std::int64_t>(activeCalls())}});
         m_context.stop();
     }
 
+    [[nodiscard]] std::size_t activeCalls() const
+    {
+        return m_controlServer->activeRequests() + (m_directoryServer ? m_directoryServer->activeRequests() : 0);
+    }
+
     void refreshMetrics()
     {
         const auto state = m_state.get();
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -512,3 +512,29 @@
     }
     REQUIRE_FALSE(isNamed);
 }
+
+// A deregistration that waited for entry hosts when its control host was stopped got no answer at all.
+TEST_CASE("nodes: a control host that is stopped answers the deregistration in progress", "[integration][nodes]")
+{
+    using std::chrono::milliseconds;
+    const bool isAcknowledged = GENERATE(false, true);
+    CAPTURE(isAcknowledged);
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    fixture.upstreams.remove("s");
+    fixture.fleet.signal("entry-1", SIGSTOP);
+    unsigned status = 0;
+    std::thread leaving([&] { status = fixture.fleet.leave(0, "s"); });
+    std::this_thread::sleep_for(milliseconds(150));
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    fixture.fleet.signal("control-0", SIGTERM);
+    if (isAcknowledged) {
+        std::this_thread::sleep_for(milliseconds(150));
+        fixture.fleet.signal("entry-1", SIGCONT);
+    }
+    leaving.join();
+    fixture.fleet.signal("entry-1", SIGCONT);
+    REQUIRE(status == (isAcknowledged ? 200 : 503));
+    REQUIRE(fixture.fleet.awaitExit("control-0") == 0);
+    REQUIRE(std::chrono::steady_clock::now() - stoppedAt < std::chrono::seconds(3));
+}
