steering: half of the time to a draining host's end remains for late deadlines

What callers saw: with a short grace period, requests that a draining host took near the end of the first half of it had almost no time to run, and were given up: 1 ms with a grace period of 1 s, none below 1.2 s. Cause: half of the grace period is not half of the time to the host's end, which comes 0.6 s before the grace period is over. The doc comment promised the former. Fix: the half is taken of the time to the end. With 6 s of grace, requests with late deadlines are taken until 2.7 s after the signal instead of 3 s. Tests: `drain_schedule: a request with a late deadline has half of the time to the end to run` (before, such a request could start at 200 ms of 400 with 1 s of grace); the exact end is checked as well.

--- a/include/steering/drain_schedule.h
+++ b/include/steering/drain_schedule.h
@@ -12,8 +12,8 @@
     milliseconds lookupLifetime {1000};
 };
 
-/// Decides which requests a draining host still takes. A request that could outlive the host is refused while it has not run, so
-/// that its caller can send it elsewhere. Immutable.
+/// Decides until when a draining host accepts connections, which requests it still takes, and when it ends. A request that could
+/// outlive the host is refused while it has not run, so that its caller can send it elsewhere. Immutable.
 class drain_schedule
 {
 public:
@@ -30,7 +30,7 @@
         return m_acceptUntil;
     }
     /// Returns true when an attempt may start at `now` for a request with this deadline: the request ends before the process does, or
-    /// has at least half of the grace period to run.
+    /// has more than half of the time between the start of the drain and the end of the process to run.
     [[nodiscard]] bool mayStart(steady_time now, steady_time deadline) const
     {
         return deadline <= m_lastDeadline || now < m_halftime;
--- a/src/steering/drain_schedule.cpp
+++ b/src/steering/drain_schedule.cpp
@@ -20,7 +20,7 @@
 drain_schedule::drain_schedule(const drain_options &options, steady_time startedAt)
     : m_end(startedAt + std::max(options.grace - exitReserve, milliseconds(0)))
     , m_acceptUntil(std::min(startedAt + lookupLifetimesAccepted * options.lookupLifetime, m_end))
-    , m_halftime(std::min(startedAt + options.grace / 2, m_end))
+    , m_halftime(startedAt + (m_end - startedAt) / 2)
     , m_lastDeadline(m_end - responseReserve)
 {
 }
