relay: a draining host refuses a request before it reads its body

What callers saw: a draining host sent 100 Continue, and read up to 64 KiB of a body, for a request that it then refused as not run. A caller that was slow to send it learnt so only when its deadline was near. Cause: the drain schedule was asked only before an attempt. Found by reading; same class as docs/incidents/lost-after-stop.md. Fix: it is asked as well when the route, and with it the deadline, is known. A request that may not start then may not start later either. Test: `relay: a draining host refuses a request that could outlive it before it reads the body`; before, the status was 100 with Expect, and 0 without.

--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -196,6 +196,9 @@
     }
     context.service = chooseService(*context.matched, context.id);
     context.deadline = context.arrivedAt + std::min(metadata.callerTimeout.value_or(context.matched->timeout), context.matched->timeout);
+    if (!mayStartAttempt(context, context.arrivedAt)) {
+        return {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter};
+    }
     return {.status = 200, .error = errc::ok};
 }
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -523,6 +523,24 @@
     REQUIRE(upstream.requests() == 1);
 }
 
+// A draining host asked for the whole body of a request that it was going to refuse.
+TEST_CASE("relay: a draining host refuses a request that could outlive it before it reads the body", "[relay]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture fixture({&upstream});
+    const std::string expectation = GENERATE("", "Expect: 100-continue\r\n");
+    CAPTURE(expectation);
+    caller client(fixture);
+    fixture.server->beginDrain({{.grace = milliseconds(2600)}, fixture.clock.now() - milliseconds(1300)});
+    const auto sentAt = fixture.clock.now();
+    client.send("POST /once/x HTTP/1.1\r\nHost: x\r\nRequest-Id: x\r\n" + expectation + "Content-Length: 4\r\n\r\n");
+    const auto refused = client.read();
+    REQUIRE(refused.result_int() == 503);
+    REQUIRE_FALSE(refused["Retry-After"].empty());
+    REQUIRE(fixture.clock.now() - sentAt < milliseconds(1500));
+    REQUIRE(upstream.requests() == 0);
+}
+
 TEST_CASE("relay: once it takes no more, what is carried is answered, and all else is refused as not run", "[relay]")
 {
     std::promise<void> reached;
