relay: test that a request that may have run is never refused as not run

A draining host that does not start another attempt answers with the upstream's own response, or with 502 once the request may have run; 503 would tell the caller that it may send the request again. No test guarded that. This one fails when the check before the refusal in tryUpstreams is removed: 503 == 502 and 503 == 500.

--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -541,6 +541,31 @@
     REQUIRE(upstream.requests() == 0);
 }
 
+// What a draining host no longer retries may have run, and must not be refused as not run.
+TEST_CASE("relay: a request that may have run is never refused as not run, also when its retry comes too late in a drain", "[relay]")
+{
+    const bool upstreamAnswers = GENERATE(false, true);
+    CAPTURE(upstreamAnswers);
+    relay_server *server = nullptr;
+    system_clock_source clock;
+    const auto failLate = [&](const received_request &request, scripted_upstream::socket &to) {
+        // The second half of the time to the host's end begins while the first attempt runs.
+        server->beginDrain({{.grace = milliseconds(2600)}, clock.now() - milliseconds(1300)});
+        if (upstreamAnswers) {
+            scripted_upstream::write(
+                to, "HTTP/1.1 500 Failed\r\nRequest-Id: " + request.field("Request-Id") + "\r\nServer-Stamp: mark\r\nContent-Length: 0\r\n\r\n");
+        }
+        return upstreamAnswers;
+    };
+    scripted_upstream first(failLate);
+    scripted_upstream second(failLate);
+    relay_fixture fixture({&first, &second});
+    server = fixture.server.get();
+    caller client(fixture);
+    REQUIRE(client.exchange("GET", "/again/1").result_int() == (upstreamAnswers ? 500 : 502));
+    REQUIRE(first.requests() + second.requests() == 1);
+}
+
 TEST_CASE("relay: once it takes no more, what is carried is answered, and all else is refused as not run", "[relay]")
 {
     std::promise<void> reached;
