--- a/src/node/control_watch.h
+++ b/src/node/control_watch.h
@@ -50,8 +50,8 @@
     void start();
     /// Adds control hosts to poll; known addresses are ignored.
     void addSeeds(std::span<const std::string> addresses);
-    /// Immediately reports to all control hosts whether this host serves callers.
-    void setServing(bool serving);
+    /// Immediately reports to all control hosts that this host no longer serves callers. Final: later answers do not change it.
+    void stopServing();
     /// Immediately reports to all control hosts whether this host reaches no upstream, and asks them for peers if so.
     void setIsolated(bool isolated);
     /// Queues an upstream's death for the next poll of each control host. Thread-safe.
@@ -72,6 +72,8 @@
         bool reachable = false;
     };
 
+    // Immediately reports to all control hosts whether this host serves callers.
+    void setServing(bool serving);
     void pollAllNow();
     boost::asio::awaitable<void> pollLoop(std::string address);
     boost::asio::awaitable<bool> poll(const std::string &address, milliseconds wait);
@@ -85,6 +87,7 @@
     upstream_directory m_directory;
     log_index m_appliedIndex = 0;
     entry_host m_self;
+    bool m_servingStopped = false;
     std::atomic<bool> m_hasInitialState {false};
     bool m_upstreamsKnown = false;
 
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -2,6 +2,8 @@
 
 #include "fakes/node_fleet.h"
 #include "fakes/scripted_upstream.h"
+#include "replica/formation.h"
+#include "rpc/control_client.h"
 #include "soak/fault_block.h"
 
 #include <atomic>
@@ -376,7 +378,7 @@
         int deadlineMs;
     };
     const std::vector<planned_request> plan {
-        {milliseconds(300), "/once/slow-1", 3000},  {milliseconds(1500), "/once/slow-2", 3000}, {milliseconds(2700), "/once/slow-3", 3000},
+        {milliseconds(300), "/once/slow-1", 3000},  {milliseconds(1500), "/once/slow-2", 3000}, {milliseconds(2200), "/once/slow-3", 3000},
         {milliseconds(3400), "/once/slow-4", 3000}, {milliseconds(3700), "/once/slow-5", 3000}, {milliseconds(3000), "/once/short", 1000},
     };
     struct outcome {
@@ -460,3 +462,79 @@
         REQUIRE(awaitCondition([&] { return callHttp(fixture.fleet.control(i), "GET", "/-/Config.Get").status == 200; }));
     }
 }
+
+// A formation call that arrived after the replica's thread had ended was never answered, and the process waited for it for ever.
+TEST_CASE("nodes: a control host ends although formation calls arrive while it stops", "[integration][nodes]")
+{
+    using namespace hornbeampick;
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    const auto client = makeGrpcControlClient({.certificate = {}, .key = {}, .authority = {}, .plainText = true}, nullptr);
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    fixture.fleet.signal("control-0", SIGTERM);
+    for (int i = 0; i < 20; ++i) {
+        std::this_thread::sleep_for(milliseconds(10));
+        client->form(fixture.fleet.rpc(0), {.sender = {.host = host_name("x"), .disk = 7, .address = "127.0.0.1:1"}, .config = std::nullopt, .join = false},
+                     [](const form_reply &) {});
+    }
+    while (fixture.fleet.isRunning("control-0") && std::chrono::steady_clock::now() - stoppedAt < seconds(4)) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    client->cancelAll();
+    CHECK_FALSE(fixture.fleet.isRunning("control-0"));
+    fixture.fleet.kill("control-0");
+}
+
+// An entry host that was stopped before it had polled any control host announced itself with the first answer, while it drained.
+TEST_CASE("nodes: an entry host that is stopped before it knows any upstream is never named in look-ups", "[integration][nodes]")
+{
+    using std::chrono::milliseconds;
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    const std::vector<std::string> controlHosts {"control-0", "control-1", "control-2"};
+    fixture.fleet.signal("entry-0", SIGTERM);
+    REQUIRE(fixture.fleet.awaitExit("entry-0") == 0);
+    REQUIRE_FALSE(fixture.isNamed(0));
+    for (const auto &name : controlHosts) {
+        fixture.fleet.signal(name, SIGSTOP);
+    }
+    fixture.fleet.start("entry-0");
+    REQUIRE(awaitCondition([&] { return callHttp(fixture.fleet.readiness(0), "GET", "/-/readyz").status == 503; }));
+    fixture.fleet.signal("entry-0", SIGTERM);
+    std::this_thread::sleep_for(milliseconds(100));
+    for (const auto &name : controlHosts) {
+        fixture.fleet.signal(name, SIGCONT);
+    }
+    bool isNamed = false;
+    while (fixture.fleet.isRunning("entry-0")) {
+        isNamed = isNamed || fixture.isNamed(0);
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    REQUIRE_FALSE(isNamed);
+}
+
+// A deregistration that waited for entry hosts when its control host was stopped got no answer at all.
+TEST_CASE("nodes: a control host that is stopped answers the deregistration in progress", "[integration][nodes]")
+{
+    using std::chrono::milliseconds;
+    const bool isAcknowledged = GENERATE(false, true);
+    CAPTURE(isAcknowledged);
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    fixture.upstreams.remove("s");
+    fixture.fleet.signal("entry-1", SIGSTOP);
+    unsigned status = 0;
+    std::thread leaving([&] { status = fixture.fleet.leave(0, "s"); });
+    std::this_thread::sleep_for(milliseconds(150));
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    fixture.fleet.signal("control-0", SIGTERM);
+    if (isAcknowledged) {
+        std::this_thread::sleep_for(milliseconds(150));
+        fixture.fleet.signal("entry-1", SIGCONT);
+    }
+    leaving.join();
+    fixture.fleet.signal("entry-1", SIGCONT);
+    REQUIRE(status == (isAcknowledged ? 200 : 503));
+    REQUIRE(fixture.fleet.awaitExit("control-0") == 0);
+    REQUIRE(std::chrono::steady_clock::now() - stoppedAt < std::chrono::seconds(3));
+}
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -547,6 +547,49 @@
     REQUIRE(upstream.requests() == 1);
 }
 
+// A draining host asked for the whole body of a request that it was going to refuse.
+TEST_CASE("relay: a draining host refuses a request that could outlive it before it reads the body", "[relay]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture fixture({&upstream});
+    const std::string expectation = GENERATE("", "Expect: 100-continue\r\n");
+    CAPTURE(expectation);
+    caller client(fixture);
+    fixture.server->beginDrain({{.grace = milliseconds(2600)}, fixture.clock.now() - milliseconds(1300)});
+    const auto sentAt = fixture.clock.now();
+    client.send("POST /once/x HTTP/1.1\r\nHost: x\r\nRequest-Id: x\r\n" + expectation + "Content-Length: 4\r\n\r\n");
+    const auto refused = client.read();
+    REQUIRE(refused.result_int() == 503);
+    REQUIRE_FALSE(refused["Retry-After"].empty());
+    REQUIRE(fixture.clock.now() - sentAt < milliseconds(1500));
+    REQUIRE(upstream.requests() == 0);
+}
+
+// What a draining host no longer retries may have run, and must not be refused as not run.
+TEST_CASE("relay: a request that may have run is never refused as not run, also when its retry comes too late in a drain", "[relay]")
+{
+    const bool upstreamAnswers = GENERATE(false, true);
+    CAPTURE(upstreamAnswers);
+    relay_server *server = nullptr;
+    system_clock_source clock;
+    const auto failLate = [&](const received_request &request, scripted_upstream::socket &to) {
+        // The second half of the time to the host's end begins while the first attempt runs.
+        server->beginDrain({{.grace = milliseconds(2600)}, clock.now() - milliseconds(1300)});
+        if (upstreamAnswers) {
+            scripted_upstream::write(
+                to, "HTTP/1.1 500 Failed\r\nRequest-Id: " + request.field("Request-Id") + "\r\nServer-Stamp: mark\r\nContent-Length: 0\r\n\r\n");
+        }
+        return upstreamAnswers;
+    };
+    scripted_upstream first(failLate);
+    scripted_upstream second(failLate);
+    relay_fixture fixture({&first, &second});
+    server = fixture.server.get();
+    caller client(fixture);
+    REQUIRE(client.exchange("GET", "/again/1").result_int() == (upstreamAnswers ? 500 : 502));
+    REQUIRE(first.requests() + second.requests() == 1);
+}
+
 TEST_CASE("relay: once it takes no more, what is carried is answered, and all else is refused as not run", "[relay]")
 {
     std::promise<void> reached;
