relay: tests of responses without end that the relay already ends

An upstream in trouble may send bytes that are no response without end, in a head or a body, until its caller closes. Over real sockets, against an upstream that writes as fast as the relay reads: a status line, header fields, bodies for another request, bodies without the stamp and bodies of refusals end the attempt at once, within 16 MB written (both sockets' buffers included), and a request that may be repeated is served by another upstream. These forms needed no change.

--- a/tests/fakes/scripted_upstream.cpp
+++ b/tests/fakes/scripted_upstream.cpp
@@ -15,6 +15,10 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+constexpr std::chrono::seconds endlessTime {3};
+constexpr std::size_t endlessBytes = 256U << 20U;
+constexpr std::size_t endlessBlockBytes = 65536;
+
 // Reads until `buffer` holds at least `wanted` bytes. Returns false if the connection ends first.
 bool readAtLeast(scripted_upstream::socket &from, std::string &buffer, std::size_t wanted)
 {
@@ -196,6 +200,26 @@
         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::size_t scripted_upstream::writeEndlessly(socket &to, const std::string &head, const std::string &piece, std::chrono::milliseconds pause)
+{
+    const auto end = std::chrono::steady_clock::now() + endlessTime;
+    std::string block;
+    const std::size_t blockBytes = pause.count() > 0 ? piece.size() : endlessBlockBytes;
+    while (block.size() < blockBytes) {
+        block += piece;
+    }
+    error_code error;
+    std::size_t written = asio::write(to, asio::buffer(head), error);
+    while (!error && written < endlessBytes && std::chrono::steady_clock::now() < end) {
+        written += asio::write(to, asio::buffer(block), error);
+        std::this_thread::sleep_for(pause);
+    }
+    if (!error) {
+        awaitClose(to, std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now()));
+    }
+    return written;
+}
+
 bool scripted_upstream::awaitClose(socket &from, std::chrono::milliseconds wait)
 {
     pollfd ready {.fd = from.native_handle(), .events = POLLIN, .revents = 0};
--- a/tests/fakes/scripted_upstream.h
+++ b/tests/fakes/scripted_upstream.h
@@ -49,6 +49,9 @@
     static void write(socket &to, const std::string &bytes);
     /// Returns a complete 200 answer to `request` with its Request-Id and a Server-Stamp header; `more` holds further header lines.
     static std::string answer(const received_request &request, const std::string &body, const std::string &more = "");
+    /// Writes `head` and then repeats `piece` until the peer closes the connection, for at most 3 s or 256 MB. Waits for `pause` after
+    /// each piece; without a pause it writes as fast as the peer reads. Returns the number of bytes written.
+    static std::size_t writeEndlessly(socket &to, const std::string &head, const std::string &piece, std::chrono::milliseconds pause = {});
     /// Returns true if the peer closes the connection within `wait`.
     static bool awaitClose(socket &from, std::chrono::milliseconds wait);
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -165,6 +165,69 @@
     return "HTTP/1.1 503 Busy\r\nRequest-Id: " + request.field("Request-Id") + "\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n";
 }
 
+// Bytes that a faulty upstream sends in response to a request: `head` once, then `piece` without end.
+struct endless_form {
+    std::string name;
+    std::function<std::string(const std::string &id)> head;
+    std::string piece;
+};
+
+// Upper bound of what an upstream can write into the buffers of both sockets while the relay reads little or nothing.
+constexpr std::size_t maxUnreadBytes = 16U << 20U;
+
+std::function<std::string(const std::string &id)> withHead(const std::string &statusLine, const std::string &moreFields)
+{
+    return [=](const std::string &id) { return "HTTP/1.1 " + statusLine + "\r\nRequest-Id: " + id + "\r\n" + moreFields + "\r\n"; };
+}
+
+std::function<std::string(const std::string &id)> fixed(const std::string &bytes)
+{
+    return [=](const std::string &) { return bytes; };
+}
+
+std::vector<endless_form> brokenForms()
+{
+    const std::string stamp = "Server-Stamp: mark\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string veryLong = "Content-Length: 1000000000000\r\n";
+    const std::string other = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: mark\r\n";
+    return {
+        {.name = "status line", .head = fixed("HTTP/1.1 200 "), .piece = "x"},
+        {.name = "header fields", .head = fixed("HTTP/1.1 200 OK\r\n"), .piece = "X-Field: longer value\r\n"},
+        {.name = "body for another request", .head = fixed(other + "\r\n"), .piece = "x"},
+        {.name = "body for another request, with a length", .head = fixed(other + veryLong + "\r\n"), .piece = "x"},
+        {.name = "body for another request, in chunks", .head = fixed(other + chunked + "\r\n"), .piece = "4\r\nbody\r\n"},
+        {.name = "body without stamp", .head = withHead("200 OK", ""), .piece = "x"},
+        {.name = "body without stamp, in chunks", .head = withHead("200 OK", chunked), .piece = "4\r\nbody\r\n"},
+        {.name = "refusal", .head = withHead("503 Busy", stamp + "Not-Executed: full\r\n"), .piece = "x"},
+        {.name = "refusal in chunks", .head = withHead("503 Busy", "Not-Executed: full\r\n" + chunked), .piece = "4\r\nbody\r\n"},
+        {.name = "refusal with a length", .head = withHead("429 Busy", "Not-Executed: full\r\n" + veryLong), .piece = "x"},
+    };
+}
+
+// Sends requests that may be repeated until `form` has come in response to some of them, and requires that another upstream serves all
+// of them well before their deadline.
+void requireServedByAnother(const endless_form &form, milliseconds pause)
+{
+    std::atomic<std::size_t> written {0};
+    auto endless = std::make_unique<scripted_upstream>([&](const received_request &request, scripted_upstream::socket &to) {
+        written += scripted_upstream::writeEndlessly(to, form.head(request.field("Request-Id")), form.piece, pause);
+        return false;
+    });
+    scripted_upstream good(echo);
+    relay_fixture fixture({endless.get(), &good});
+    caller client(fixture);
+    for (int i = 0; i < 6; ++i) {
+        const auto startedAt = std::chrono::steady_clock::now();
+        REQUIRE(client.exchange("GET", "/again/" + std::to_string(i)).result_int() == 200);
+        REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(1000));
+    }
+    const auto requests = endless->requests();
+    REQUIRE(requests > 0);
+    endless.reset();
+    REQUIRE(written < requests * maxUnreadBytes);
+}
+
 bool eventually(const std::function<bool()> &condition)
 {
     const auto end = std::chrono::steady_clock::now() + seconds(5);
@@ -313,6 +376,15 @@
     REQUIRE(client.exchange("GET", "/once/m").result_int() == 502);
 }
 
+// A faulty upstream sends bytes that are no response without end. The attempt must end as soon as that is known: neither memory nor
+// time up to the deadline may be spent on them, and a request that may be repeated goes to another upstream.
+TEST_CASE("relay: bytes without end that are no response end the attempt at once", "[relay][endless]")
+{
+    const auto form = GENERATE(from_range(brokenForms()));
+    CAPTURE(form.name);
+    requireServedByAnother(form, milliseconds(0));
+}
+
 TEST_CASE("relay: what an upstream did not run goes to the next, also when it may run once", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
