relay: limit the interim responses of one attempt

What callers saw: 504 at the deadline, also for requests that may be repeated, when an upstream sent interim responses (1xx) without end; until then the relay's thread parsed them as fast as they came. Cause: late responses were counted, interim ones were not. Class: a loop over what a peer sends that only the peer can end. Change: more than 16 interim responses end the attempt as broken, so that what may be repeated goes to another upstream. Evidence: the tests of endless responses with the form "interim responses", at full speed and one each 20 ms; before, both printed "504 (0x1f8) == 200" for form.name := "interim responses".

--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -31,6 +31,8 @@
 constexpr std::uint32_t maxResponseHeaderBytes = 65536;
 // Late responses to earlier requests that one attempt skips before it treats the connection as broken.
 constexpr int maxLateResponses = 4;
+// Interim responses that one attempt skips before it treats the connection as broken.
+constexpr int maxInterimResponses = 16;
 // Idle connections are reused for the keep-alive timeout of the upstream divided by this.
 constexpr int idleTimeoutDivisor = 2;
 constexpr milliseconds defaultIdleTimeout {4000};
@@ -175,7 +177,8 @@
 asio::awaitable<void> upstream_attempt::readResponse(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome)
 {
     const bool isHeadRequest = context.parser.get().method() == http::verb::head;
-    for (int lateResponses = 0; lateResponses < maxLateResponses;) {
+    int interimResponses = 0;
+    for (int lateResponses = 0; lateResponses < maxLateResponses && interimResponses < maxInterimResponses;) {
         upstream_response response;
         response.parser = std::make_unique<upstream_response::parser_type>();
         response.parser->header_limit(maxResponseHeaderBytes);
@@ -187,6 +190,7 @@
             co_return;
         }
         if (response.status() < static_cast<unsigned>(http::status::ok)) {
+            ++interimResponses;
             continue;
         }
         const auto metadata = m_parts.headerCodec.decodeResponse(beast_header_view(response.parser->get()));
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -170,6 +170,8 @@
     std::string name;
     std::function<std::string(const std::string &id)> head;
     std::string piece;
+    // The head, or each piece by itself, shows that no response to the request follows.
+    bool isKnownFromHead = false;
 };
 
 // Upper bound of what an upstream can write into the buffers of both sockets while the relay reads little or nothing.
@@ -194,6 +196,7 @@
     return {
         {.name = "status line", .head = fixed("HTTP/1.1 200 "), .piece = "x"},
         {.name = "header fields", .head = fixed("HTTP/1.1 200 OK\r\n"), .piece = "X-Field: longer value\r\n"},
+        {.name = "interim responses", .head = fixed(""), .piece = "HTTP/1.1 100 Continue\r\n\r\n", .isKnownFromHead = true},
         {.name = "body for another request", .head = fixed(other + "\r\n"), .piece = "x"},
         {.name = "body for another request, with a length", .head = fixed(other + veryLong + "\r\n"), .piece = "x"},
         {.name = "body for another request, in chunks", .head = fixed(other + chunked + "\r\n"), .piece = "4\r\nbody\r\n"},
@@ -385,6 +388,13 @@
     requireServedByAnother(form, milliseconds(0));
 }
 
+TEST_CASE("relay: a head after which no response can follow ends the attempt at once, however slowly the rest comes", "[relay][endless]")
+{
+    const auto form = GENERATE(filter([](const endless_form &each) { return each.isKnownFromHead; }, from_range(brokenForms())));
+    CAPTURE(form.name);
+    requireServedByAnother(form, milliseconds(20));
+}
+
 TEST_CASE("relay: what an upstream did not run goes to the next, also when it may run once", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
