relay: limit what a peer may send between the pieces of a body

What callers saw: 502 at the deadline, also for requests that may be repeated, when an upstream's response went on without end in a chunk extension or in trailer fields. The same in a caller's body was kept until its deadline, then its connection was closed without a response. Cause: the parser limits headers and bodies; chunk headers and trailer fields it wants whole in the buffer, and the buffer had no limit. Memory grew as fast as the peer sent. Class: a buffer whose size only the peer decides. Change: the buffers end at the header limit, 64 KiB for upstreams and the routes' header limit for callers. An upstream's response that does not fit is broken at once; a caller gets 431.

--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -4,6 +4,7 @@
 #include "message_head.h"
 #include "observe/log.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -72,7 +73,7 @@
 
 local_response responseFor(const error_code &error)
 {
-    if (error == http::error::header_limit) {
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         return {.status = 431, .error = errc::headerTooLarge};
     }
     if (error == http::error::body_limit) {
@@ -124,6 +125,8 @@
     request_context context;
     context.parser.header_limit(allowed.headerBytes);
     context.parser.body_limit(allowed.bodyBytes);
+    // The header limit also applies to chunk headers and trailer fields, which the parser itself does not limit.
+    m_buffer.max_size(std::max<std::size_t>({allowed.headerBytes, readBufferBytes, m_buffer.size()}));
     if (m_buffer.size() == 0) {
         m_stream.expires_after(allowed.idleTimeout + idleGrace);
         const auto [failed, count] = co_await m_stream.async_read_some(m_buffer.prepare(readBufferBytes), noThrow);
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -28,7 +28,6 @@
 constexpr milliseconds probeTimeout {300};
 // The upstream itself stops at the deadline; its response then still has to travel back.
 constexpr milliseconds responseGrace {100};
-constexpr std::uint32_t maxResponseHeaderBytes = 65536;
 // Late responses to earlier requests that one attempt skips before it treats the connection as broken.
 constexpr int maxLateResponses = 4;
 // Interim responses that one attempt skips before it treats the connection as broken.
--- a/src/relay/upstream_connection.h
+++ b/src/relay/upstream_connection.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,6 +16,9 @@
 namespace hornbeampick
 {
 
+/// Maximum size of a response header, of a chunk header with its extensions, and of the trailer fields.
+constexpr std::uint32_t maxResponseHeaderBytes = 65536;
+
 /// A connection to one incarnation of an upstream.
 struct upstream_connection {
     explicit upstream_connection(const boost::asio::any_io_executor &executor)
@@ -23,7 +27,7 @@
     }
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer {maxResponseHeaderBytes};
     // While idle, the connection may be reused until this time.
     steady_time idleDeadline {};
 };
--- a/tests/fakes/scripted_upstream.h
+++ b/tests/fakes/scripted_upstream.h
@@ -45,6 +45,9 @@
     /// Stops accepting connections and shuts down the open ones.
     void close();
 
+    /// Upper bound in bytes of what one peer can write into the buffers of both sockets while the other reads little or nothing.
+    static constexpr std::size_t maxUnreadBytes = 16U << 20U;
+
     /// Writes all of `bytes`.
     static void write(socket &to, const std::string &bytes);
     /// Returns a complete 200 answer to `request` with its Request-Id and a Server-Stamp header; `more` holds further header lines.
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -174,9 +174,6 @@
     bool isKnownFromHead = false;
 };
 
-// Upper bound of what an upstream can write into the buffers of both sockets while the relay reads little or nothing.
-constexpr std::size_t maxUnreadBytes = 16U << 20U;
-
 std::function<std::string(const std::string &id)> withHead(const std::string &statusLine, const std::string &moreFields)
 {
     return [=](const std::string &id) { return "HTTP/1.1 " + statusLine + "\r\nRequest-Id: " + id + "\r\n" + moreFields + "\r\n"; };
@@ -193,10 +190,15 @@
     const std::string chunked = "Transfer-Encoding: chunked\r\n";
     const std::string veryLong = "Content-Length: 1000000000000\r\n";
     const std::string other = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: mark\r\n";
+    const auto startOf = [=](const std::string &body) {
+        return [=](const std::string &id) { return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: mark\r\n" + chunked + "\r\n" + body; };
+    };
     return {
         {.name = "status line", .head = fixed("HTTP/1.1 200 "), .piece = "x"},
         {.name = "header fields", .head = fixed("HTTP/1.1 200 OK\r\n"), .piece = "X-Field: longer value\r\n"},
         {.name = "interim responses", .head = fixed(""), .piece = "HTTP/1.1 100 Continue\r\n\r\n", .isKnownFromHead = true},
+        {.name = "chunk extension", .head = startOf("5;a="), .piece = "x"},
+        {.name = "trailer fields", .head = startOf("0\r\n"), .piece = "X-Trailer: value\r\n"},
         {.name = "body for another request", .head = fixed(other + "\r\n"), .piece = "x", .isKnownFromHead = true},
         {.name = "body for another request, with a length", .head = fixed(other + veryLong + "\r\n"), .piece = "x", .isKnownFromHead = true},
         {.name = "body for another request, in chunks", .head = fixed(other + chunked + "\r\n"), .piece = "4\r\nbody\r\n"},
@@ -228,7 +230,7 @@
     const auto requests = endless->requests();
     REQUIRE(requests > 0);
     endless.reset();
-    REQUIRE(written < requests * maxUnreadBytes);
+    REQUIRE(written < requests * scripted_upstream::maxUnreadBytes);
 }
 
 bool eventually(const std::function<bool()> &condition)
@@ -563,6 +565,21 @@
     REQUIRE(next.exchange("GET", "/once/1").result_int() == 200);
 }
 
+// A caller's body that never gets past a chunk header or the trailer fields was kept in memory until the deadline.
+TEST_CASE("relay: a chunk header or trailer beyond the header limit gets a 4xx at once", "[relay][endless]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture fixture({&upstream});
+    const auto start = GENERATE(as<std::string> {}, "5;a=", "0\r\nX-Trailer: ");
+    CAPTURE(start);
+    caller client(fixture);
+    const auto startedAt = std::chrono::steady_clock::now();
+    client.send("POST /once/c HTTP/1.1\r\nHost: x\r\nRequest-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n" + start + std::string(100000, 'x'));
+    REQUIRE(client.read().result_int() == 431);
+    REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(1000));
+    REQUIRE(upstream.requests() == 0);
+}
+
 TEST_CASE("relay: unknown routes are 404; before any routes are known it is 503", "[relay]")
 {
     relay_fixture fixture;
