http: limit what a peer may send between the pieces of a body

Now both buffers end at the header limit: the server refuses the request at once, the client treats the connection as broken.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -65,7 +65,7 @@
 
 errc toErrc(const error_code &error)
 {
-    if (error == http::error::header_limit) {
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         return errc::headerTooLarge;
     }
     if (error == http::error::body_limit) {
@@ -80,6 +80,7 @@
 public:
     session(tcp::socket socket, const http_server_options &options, http_handler &handler, std::shared_ptr<server_state> state)
         : m_stream(std::move(socket))
+        , m_buffer(options.headerBytes)
         , m_options(options)
         , m_handler(handler)
         , m_state(std::move(state))
@@ -268,6 +269,7 @@
     }
 
     beast::tcp_stream m_stream;
+    // Its limit also applies to chunk headers and trailer fields, which the parser itself does not limit.
     beast::flat_buffer m_buffer;
     http_server_options m_options;
     http_handler &m_handler;
--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -36,6 +36,8 @@
 constexpr std::array unforwardedHeaders {
     "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
     "host",       "expect",     "proxy-connection"};
+// Maximum size of a response header, of a chunk header with its extensions, and of the trailer fields.
+constexpr std::uint32_t maxResponseHeaderBytes = 16384;
 constexpr std::string_view outcomeHeader = "Hornbeampick-Outcome";
 
 bool isUnforwardedHeader(std::string_view name)
@@ -224,8 +226,9 @@
             result.end = writeError == beast::error::timeout ? attempt_status::timedOut : attempt_status::broke;
             co_return result;
         }
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(maxResponseHeaderBytes);
         http::response_parser<http::string_body> parser;
+        parser.header_limit(maxResponseHeaderBytes);
         parser.body_limit(m_options.maxResponseBytes);
         if (request.method == "HEAD") {
             parser.skip(true);
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -71,3 +71,31 @@
     REQUIRE((after == 503 || after == 0));
     REQUIRE(handler.handled == 1);
 }
+
+// A body that never gets past a chunk header or the trailer fields was kept in memory until the time for a request was over.
+TEST_CASE("http_server: a chunk header or trailer beyond the header limit is refused at once", "[http][endless]")
+{
+    handler_mock handler;
+    asio::io_context context;
+    auto server = makeHttpServer({.address = "127.0.0.1"}, context, handler);
+    REQUIRE(server);
+    std::thread thread([&] { context.run(); });
+    const auto start = GENERATE(as<std::string> {}, "5;a=", "0\r\nX-Trailer: ");
+    CAPTURE(start);
+    asio::io_context callerContext;
+    asio::ip::tcp::socket socket(callerContext);
+    socket.connect({asio::ip::address_v4::loopback(), server.value()->port()});
+    const auto startedAt = std::chrono::steady_clock::now();
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + start + std::string(100000, 'x')), error);
+    boost::beast::flat_buffer buffer;
+    http::response<http::string_body> answer;
+    http::read(socket, buffer, answer, error);
+    const auto elapsed = std::chrono::steady_clock::now() - startedAt;
+    context.stop();
+    thread.join();
+    REQUIRE_FALSE(error);
+    REQUIRE(answer.result_int() == 400);
+    REQUIRE(elapsed < milliseconds(1000));
+    REQUIRE(handler.handled == 0);
+}
