relay, http: time limits that hold for a peer whose bytes are always there

What callers saw: a response without end was relayed 2.8 s past the route's timeout of 300 ms, until the upstream stopped; the daemon's client for upstreams was 1.6 s late, its server 2.7 s. Cause: the timer of a stream starts with a read that waits. A read that finds bytes ends before the timer is looked at, and cancels it; the composed reads go on until the message ends. Class: a limit that is enforced only while one waits. Change: one reader of messages for both, readMessage, looks at the clock before each read. Bodies, streamed or buffered, headers and the input that is discarded when a connection lingers keep to their limits. It replaces the library's composed reads; limits and errors are the same.

--- /dev/null
+++ b/include/http/message_reader.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/clock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace hornbeampick
+{
+
+/// How much of a message is read.
+enum class message_part {
+    header,
+    /// The header, if it has not been read yet, and the body.
+    whole,
+};
+
+/// Reads a message, or the rest of it, into `parser`. `buffer` needs a maximum size, which a header, a chunk header with its
+/// extensions and the trailer fields must fit into.
+///
+/// The timer of `stream` ends a read that waits, but not reads that always find bytes; `deadline` ends both. The caller sets the timer.
+/// Errors: those of the connection and of the parser; `beast::error::timeout` at the deadline; `http::error::buffer_overflow` when the
+/// buffer is full; `http::error::end_of_stream` when the peer closes before the first byte.
+template <typename Parser>
+boost::asio::awaitable<boost::system::error_code> readMessage(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, Parser &parser,
+                                                              message_part part, steady_time deadline)
+{
+    namespace http = boost::beast::http;
+    constexpr std::size_t maxReadBytes = 65536;
+    parser.eager(part == message_part::whole);
+    while (part == message_part::whole ? !parser.is_done() : !parser.is_header_done()) {
+        boost::system::error_code error;
+        if (buffer.size() > 0) {
+            buffer.consume(parser.put(buffer.data(), error));
+            if (!error) {
+                continue;
+            }
+            if (error != http::error::need_more) {
+                co_return error;
+            }
+        }
+        if (std::chrono::steady_clock::now() >= deadline) {
+            co_return boost::beast::error::timeout;
+        }
+        const auto room = boost::beast::read_size(buffer, maxReadBytes);
+        if (room == 0) {
+            co_return http::error::buffer_overflow;
+        }
+        const auto [failed, count] = co_await stream.async_read_some(buffer.prepare(room), boost::asio::as_tuple(boost::asio::use_awaitable));
+        buffer.commit(count);
+        if (failed == boost::asio::error::eof && parser.got_some()) {
+            error = {};
+            parser.put_eof(error);
+            co_return error;
+        }
+        if (failed) {
+            co_return failed == boost::asio::error::eof ? boost::system::error_code(http::error::end_of_stream) : failed;
+        }
+    }
+    co_return boost::system::error_code();
+}
+
+} // namespace hornbeampick
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http/http_server.h"
 
 #include "core/text.h"
+#include "http/message_reader.h"
 
 #include <algorithm>
 #include <atomic>
@@ -71,6 +72,9 @@
     if (error == http::error::body_limit) {
         return errc::bodyTooLarge;
     }
+    if (error == beast::error::timeout) {
+        return errc::requestTooSlow;
+    }
     return errc::malformedRequest;
 }
 
@@ -123,7 +127,7 @@
         // A separate timer, because the stream's own timeout would close the socket before the error response is sent.
         m_stream.expires_never();
         asio::steady_timer receiveTimer(co_await asio::this_coro::executor, m_options.headerTimeout);
-        auto reading = co_await (readRequest(parser) || receiveTimer.async_wait(noThrow));
+        auto reading = co_await (readRequest(parser, receiveTimer.expiry()) || receiveTimer.async_wait(noThrow));
         if (reading.index() == 1) {
             co_await write(m_handler.makeErrorResponse(errc::requestTooSlow), false);
             co_return false;
@@ -162,9 +166,9 @@
     }
 
     // Reads a whole request. Sends "100 Continue" when the caller waits for it before it sends the body.
-    asio::awaitable<error_code> readRequest(http::request_parser<http::string_body> &parser)
+    asio::awaitable<error_code> readRequest(http::request_parser<http::string_body> &parser, steady_time deadline)
     {
-        const auto [failed, count] = co_await http::async_read_header(m_stream, m_buffer, parser, noThrow);
+        const auto failed = co_await readMessage(m_stream, m_buffer, parser, message_part::header, deadline);
         if (failed) {
             co_return failed;
         }
@@ -176,8 +180,7 @@
                 co_return writeError;
             }
         }
-        const auto [readError, bytes] = co_await http::async_read(m_stream, m_buffer, parser, noThrow);
-        co_return readError;
+        co_return co_await readMessage(m_stream, m_buffer, parser, message_part::whole, deadline);
     }
 
     http_request toHttpRequest(http::request<http::string_body> message) const
@@ -259,9 +262,10 @@
     // the response.
     asio::awaitable<void> linger()
     {
-        m_stream.expires_after(lingerTimeout);
+        const auto end = std::chrono::steady_clock::now() + lingerTimeout;
+        m_stream.expires_at(end);
         bool more = true;
-        while (more) {
+        while (more && std::chrono::steady_clock::now() < end) {
             m_buffer.consume(m_buffer.size());
             const auto [failed, count] = co_await m_stream.async_read_some(m_buffer.prepare(m_options.headerBytes / 4), noThrow);
             more = !failed && count > 0;
--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -3,6 +3,7 @@
 #include "core/digest.h"
 #include "core/shards.h"
 #include "core/text.h"
+#include "http/message_reader.h"
 
 #include <algorithm>
 #include <array>
@@ -233,7 +234,7 @@
         if (request.method == "HEAD") {
             parser.skip(true);
         }
-        const auto [readError, read] = co_await http::async_read(stream, buffer, parser, noThrow);
+        const auto readError = co_await readMessage(stream, buffer, parser, message_part::whole, request.deadline);
         if (readError) {
             result.end = readError == beast::error::timeout ? attempt_status::timedOut : attempt_status::broke;
             co_return result;
--- a/src/relay/body_reader.h
+++ b/src/relay/body_reader.h
@@ -1,13 +1,7 @@
 #pragma once
 
-#include <array>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
+#include "http/message_reader.h"
+
 #include <string>
 
 namespace hornbeampick
@@ -17,10 +11,10 @@
 constexpr std::size_t bodyReadBytes = 16384;
 
 /// Reads the next part of a body, at most `bodyReadBytes`, and appends it to `out`. The parser is done once the body has ended.
-/// Errors: those of the connection and of the parser.
+/// Sets the timer of `stream` to `deadline`. Errors: those of `readMessage`.
 template <typename Parser>
 boost::asio::awaitable<boost::system::error_code> readSomeBody(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, Parser &parser,
-                                                               std::string &out)
+                                                               std::string &out, steady_time deadline)
 {
     namespace http = boost::beast::http;
     const auto sizeBefore = out.size();
@@ -29,7 +23,8 @@
     body.data = out.data() + sizeBefore;
     body.size = bodyReadBytes;
     body.more = true;
-    auto [error, count] = co_await http::async_read(stream, buffer, parser, boost::asio::as_tuple(boost::asio::use_awaitable));
+    stream.expires_at(deadline);
+    auto error = co_await readMessage(stream, buffer, parser, message_part::whole, deadline);
     out.resize(out.size() - body.size);
     if (error == http::error::need_buffer) {
         error = {};
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -8,7 +8,6 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 #include <cstdio>
 
 namespace hornbeampick
@@ -136,8 +135,9 @@
         m_buffer.commit(count);
     }
     const active_request_guard active(m_state.active, m_requests, context);
-    m_stream.expires_after(allowed.headerTimeout);
-    const auto [failed, count] = co_await http::async_read_header(m_stream, m_buffer, context.parser, noThrow);
+    const auto headerDeadline = m_parts.clock.now() + allowed.headerTimeout;
+    m_stream.expires_at(headerDeadline);
+    const auto failed = co_await readMessage(m_stream, m_buffer, context.parser, message_part::header, headerDeadline);
     if (failed == http::error::end_of_stream || failed == http::error::partial_message || failed == beast::error::timeout) {
         co_return false;
     }
@@ -207,8 +207,7 @@
 asio::awaitable<bool> relay_session::bufferBody(request_context &context)
 {
     while (!context.parser.is_done() && context.body.size() < maxBufferedBodyBytes) {
-        m_stream.expires_at(context.deadline);
-        const auto failed = co_await readSomeBody(m_stream, m_buffer, context.parser, context.body);
+        const auto failed = co_await readSomeBody(m_stream, m_buffer, context.parser, context.body, context.deadline);
         if (failed) {
             m_lingerOnClose = true;
             if (failed != beast::error::timeout && failed != http::error::partial_message) {
@@ -409,7 +408,6 @@
     if (!co_await write(makeCallerResponseHead(response.parser->get().base(), framing, keepOpen), {})) {
         co_return false;
     }
-    response.connection->stream.expires_at(context.deadline);
     std::string payload = std::move(response.body);
     while (true) {
         const std::string framed = framing.chunked && !payload.empty() ? encodeChunk(payload) : payload;
@@ -420,7 +418,7 @@
             break;
         }
         payload.clear();
-        const auto failed = co_await readSomeBody(response.connection->stream, response.connection->buffer, *response.parser, payload);
+        const auto failed = co_await readSomeBody(response.connection->stream, response.connection->buffer, *response.parser, payload, context.deadline);
         if (failed) {
             co_return false;
         }
@@ -487,9 +485,10 @@
 // could lose the response.
 asio::awaitable<void> relay_session::drainInput()
 {
-    m_stream.expires_after(lingerTimeout);
+    const auto end = m_parts.clock.now() + lingerTimeout;
+    m_stream.expires_at(end);
     bool more = true;
-    while (more) {
+    while (more && m_parts.clock.now() < end) {
         m_buffer.consume(m_buffer.size());
         const auto [failed, count] = co_await m_stream.async_read_some(m_buffer.prepare(readBufferBytes), noThrow);
         more = !failed && count > 0;
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 namespace hornbeampick
 {
@@ -148,7 +147,6 @@
 {
     context.isBodyStreamed = true;
     const bool chunked = context.parser.chunked();
-    m_callerStream.expires_at(context.deadline);
     std::string payload;
     while (!context.parser.is_done()) {
         error_code ignored;
@@ -157,7 +155,7 @@
             co_return true;
         }
         payload.clear();
-        const auto broken = co_await readSomeBody(m_callerStream, m_callerBuffer, context.parser, payload);
+        const auto broken = co_await readSomeBody(m_callerStream, m_callerBuffer, context.parser, payload, context.deadline);
         if (broken) {
             outcome.callerError = broken == http::error::body_limit ? errc::bodyTooLarge : errc::callerLeft;
             outcome.end = dispatch_outcome::abandoned;
@@ -184,6 +182,7 @@
 asio::awaitable<void> upstream_attempt::readResponse(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome)
 {
     const bool isHeadRequest = context.parser.get().method() == http::verb::head;
+    const auto deadline = context.deadline + responseGrace;
     int interimResponses = 0;
     for (int lateResponses = 0; lateResponses < maxLateResponses && interimResponses < maxInterimResponses;) {
         upstream_response response;
@@ -191,7 +190,7 @@
         response.parser->header_limit(maxResponseHeaderBytes);
         response.parser->body_limit(boost::none);
         response.parser->skip(isHeadRequest);
-        const auto [failed, count] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *response.parser, noThrow);
+        const auto failed = co_await readMessage(m_connection->stream, m_connection->buffer, *response.parser, message_part::header, deadline);
         if (failed) {
             outcome.end = endOf(failed);
             co_return;
@@ -213,10 +212,7 @@
             outcome.end = dispatch_outcome::broke;
             co_return;
         }
-        if (isMatching && isRefusal) {
-            m_connection->stream.expires_at(std::min(context.deadline + responseGrace, m_parts.clock.now() + refusalBodyTimeout));
-        }
-        const bool isIntact = co_await bufferBody(response);
+        const bool isIntact = co_await bufferBody(response, isMatching && isRefusal ? std::min(deadline, m_parts.clock.now() + refusalBodyTimeout) : deadline);
         if (!isMatching) {
             // This is a late response to an earlier request; the matching one may still follow.
             if (!isIntact || !response.isComplete()) {
@@ -249,11 +245,11 @@
     outcome.end = dispatch_outcome::broke;
 }
 
-// Buffers the body up to the limit. Returns false when it is truncated.
-asio::awaitable<bool> upstream_attempt::bufferBody(upstream_response &response)
+// Buffers the body up to the limit. Returns false when it is truncated or has not come by the deadline.
+asio::awaitable<bool> upstream_attempt::bufferBody(upstream_response &response, steady_time deadline)
 {
     while (!response.parser->is_done() && response.body.size() < maxBufferedBodyBytes) {
-        const auto failed = co_await readSomeBody(m_connection->stream, m_connection->buffer, *response.parser, response.body);
+        const auto failed = co_await readSomeBody(m_connection->stream, m_connection->buffer, *response.parser, response.body, deadline);
         if (failed) {
             co_return false;
         }
--- a/src/relay/upstream_attempt.h
+++ b/src/relay/upstream_attempt.h
@@ -68,7 +68,7 @@
     boost::asio::awaitable<bool> sendRequest(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome);
     boost::asio::awaitable<bool> streamBody(request_context &context, attempt_outcome &outcome);
     boost::asio::awaitable<void> readResponse(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome);
-    boost::asio::awaitable<bool> bufferBody(upstream_response &response);
+    boost::asio::awaitable<bool> bufferBody(upstream_response &response, steady_time deadline);
     boost::asio::awaitable<bool> refusesConnections(const std::string &address);
     [[nodiscard]] dispatch_outcome endOf(const boost::system::error_code &error) const;
 
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -2,6 +2,8 @@
 
 #include "http/http_server.h"
 
+#include "fakes/scripted_upstream.h"
+
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -99,3 +101,27 @@
     REQUIRE(elapsed < milliseconds(1000));
     REQUIRE(handler.handled == 0);
 }
+
+// A peer whose bytes are always there never makes a read wait, and the timer of a stream does not fire between reads.
+TEST_CASE("http_server: a caller that sends without end is disconnected in time", "[http][endless]")
+{
+    handler_mock handler;
+    asio::io_context context;
+    auto server = makeHttpServer({.address = "127.0.0.1", .headerTimeout = milliseconds(300)}, context, handler);
+    REQUIRE(server);
+    std::thread thread([&] { context.run(); });
+    const std::string chunk = "1;a=" + std::string(4000, 'x') + "\r\nx\r\n";
+    const auto [start, piece] = GENERATE_COPY(
+        table<std::string, std::string>({{"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n", chunk}, {"nonsense\r\n\r\n", "x"}}));
+    CAPTURE(start);
+    asio::io_context callerContext;
+    asio::ip::tcp::socket socket(callerContext);
+    socket.connect({asio::ip::address_v4::loopback(), server.value()->port()});
+    const auto startedAt = std::chrono::steady_clock::now();
+    testing::scripted_upstream::writeEndlessly(socket, start, piece);
+    const auto elapsed = std::chrono::steady_clock::now() - startedAt;
+    context.stop();
+    thread.join();
+    REQUIRE(elapsed < milliseconds(1000));
+    REQUIRE(handler.handled == 0);
+}
--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -54,3 +54,19 @@
     REQUIRE(elapsed < milliseconds(1000));
     REQUIRE(written < scripted_upstream::maxUnreadBytes);
 }
+
+// A peer whose bytes are always there never makes a read wait, and the timer of a stream does not fire between reads.
+TEST_CASE("upstream_client: a response without end is given up at the deadline", "[http][endless]")
+{
+    const std::string piece = GENERATE(as<std::string> {}, "1\r\nx\r\n", "1;a=" + std::string(4000, 'x') + "\r\nx\r\n");
+    CAPTURE(piece.size());
+    scripted_upstream upstream([&](const received_request &, scripted_upstream::socket &to) {
+        scripted_upstream::writeEndlessly(to, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", piece);
+        return false;
+    });
+    const auto client = makeUpstreamClient({});
+    const auto startedAt = std::chrono::steady_clock::now();
+    const auto result = sendOnce(*client, upstream.address(), milliseconds(300));
+    REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(800));
+    REQUIRE((result.end == attempt_status::timedOut || result.end == attempt_status::broke));
+}
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -114,6 +114,20 @@
         return parser.release();
     }
 
+    // Reads and discards until the connection ends. Returns the last bytes before that.
+    std::string readToEnd()
+    {
+        std::string last;
+        std::array<char, 65536> piece {};
+        boost::system::error_code error;
+        while (!error) {
+            const auto count = m_socket.read_some(asio::buffer(piece), error);
+            last.append(piece.data(), count);
+            last.erase(0, last.size() - std::min<std::size_t>(last.size(), 64));
+        }
+        return last;
+    }
+
     response exchange(const std::string &method, const std::string &target, const std::string &moreFields = "", const std::string &body = "")
     {
         send(method + " " + target + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + target.substr(1) + "\r\nDeadline-Ms: 2500\r\n" + moreFields
@@ -210,6 +224,19 @@
     };
 }
 
+std::vector<endless_form> endlessBodies()
+{
+    const std::string stamp = "Server-Stamp: mark\r\n";
+    return {
+        {.name = "until the connection ends", .head = withHead("200 OK", stamp), .piece = "x"},
+        {.name = "with a length", .head = withHead("200 OK", stamp + "Content-Length: 1000000000000\r\n"), .piece = "x"},
+        {.name = "in chunks", .head = withHead("200 OK", stamp + "Transfer-Encoding: chunked\r\n"), .piece = "4\r\nbody\r\n"},
+        {.name = "in chunks with extensions",
+         .head = withHead("200 OK", stamp + "Transfer-Encoding: chunked\r\n"),
+         .piece = "1;a=" + std::string(4000, 'x') + "\r\nx\r\n"},
+    };
+}
+
 // Sends requests that may be repeated until `form` has come in response to some of them, and requires that another upstream serves all
 // of them well before their deadline.
 void requireServedByAnother(const endless_form &form, milliseconds pause)
@@ -397,6 +424,27 @@
     requireServedByAnother(form, milliseconds(20));
 }
 
+// The upstream's response cannot be told from a proper one before the deadline. It may be relayed until then and must not look
+// complete. A peer whose bytes are always there never makes a read wait, and the timer of a stream does not fire between reads.
+TEST_CASE("relay: a response without end is cut off at the deadline and does not look complete", "[relay][endless]")
+{
+    const auto form = GENERATE(from_range(endlessBodies()));
+    CAPTURE(form.name);
+    const milliseconds pause {GENERATE(0, 20)};
+    CAPTURE(pause.count());
+    scripted_upstream endless([&](const received_request &request, scripted_upstream::socket &to) {
+        scripted_upstream::writeEndlessly(to, form.head(request.field("Request-Id")), form.piece, pause);
+        return false;
+    });
+    relay_fixture fixture({&endless});
+    caller client(fixture);
+    const auto startedAt = std::chrono::steady_clock::now();
+    client.send("GET /short/e HTTP/1.1\r\nHost: x\r\nRequest-Id: e\r\nDeadline-Ms: 2500\r\nConnection: close\r\n\r\n");
+    const auto end = client.readToEnd();
+    REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(800));
+    REQUIRE_FALSE(end.ends_with("0\r\n\r\n"));
+}
+
 TEST_CASE("relay: what an upstream did not run goes to the next, also when it may run once", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
@@ -580,6 +628,27 @@
     REQUIRE(upstream.requests() == 0);
 }
 
+// As with upstreams, the time limits must hold for a caller whose bytes are always there.
+TEST_CASE("relay: a caller that sends without end is disconnected in time", "[relay][endless]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture fixture({&upstream});
+    const std::string head = "POST /short/c HTTP/1.1\r\nHost: x\r\nRequest-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string chunk = "1;a=" + std::string(4000, 'x') + "\r\nx\r\n";
+    const auto [start, piece] = GENERATE_COPY(table<std::string, std::string>({
+        // Until the deadline, then while the connection lingers.
+        {head, chunk},
+        // While the connection lingers after a 400.
+        {"nonsense\r\n\r\n", "x"},
+    }));
+    CAPTURE(start);
+    caller client(fixture);
+    const auto startedAt = std::chrono::steady_clock::now();
+    scripted_upstream::writeEndlessly(client.socket(), start, piece);
+    REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(1000));
+    REQUIRE(upstream.requests() == 0);
+}
+
 TEST_CASE("relay: unknown routes are 404; before any routes are known it is 503", "[relay]")
 {
     relay_fixture fixture;
