http: the header limit counts the fields that are already parsed

What callers saw: nothing in practice; a peer could send header fields without end and memory grew with them until the deadline. Cause: when a read ends within the first two bytes of a field, the parser consumes the fields before it, and compares its limit only with what it has not consumed. Class: a limit on the part that is left instead of on the whole. Change: readMessage counts the bytes of the header. Evidence: "relay: the header limit holds however the header fields arrive" printed "504 (0x1f8) == 200" before, "… for callers …" took 3000 ms (limit 1500 ms), the time for which the test sends.

--- a/include/http/message_reader.h
+++ b/include/http/message_reader.h
@@ -34,11 +34,18 @@
 {
     namespace http = boost::beast::http;
     constexpr std::size_t maxReadBytes = 65536;
+    std::size_t headerBytes = 0;
     parser.eager(part == message_part::whole);
     while (part == message_part::whole ? !parser.is_done() : !parser.is_header_done()) {
         boost::system::error_code error;
         if (buffer.size() > 0) {
-            buffer.consume(parser.put(buffer.data(), error));
+            const auto used = parser.put(buffer.data(), error);
+            buffer.consume(used);
+            // The parser limits only what it has not consumed yet.
+            headerBytes += parser.is_header_done() ? 0 : used;
+            if (headerBytes + buffer.size() > buffer.max_size() && !parser.is_header_done()) {
+                co_return http::error::header_limit;
+            }
             if (!error) {
                 continue;
             }
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -445,6 +445,16 @@
     REQUIRE_FALSE(end.ends_with("0\r\n\r\n"));
 }
 
+// When a read ends within the first two bytes of a field, the parser has consumed all fields before it, and does not count them.
+TEST_CASE("relay: the header limit holds however the header fields arrive", "[relay][endless]")
+{
+    std::string fields;
+    for (int i = 0; i < 30; ++i) {
+        fields += "-Field: value\r\nX";
+    }
+    requireServedByAnother({.name = "split", .head = fixed("HTTP/1.1 200 OK\r\nX"), .piece = fields}, milliseconds(1));
+}
+
 TEST_CASE("relay: what an upstream did not run goes to the next, also when it may run once", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
@@ -628,6 +638,19 @@
     REQUIRE(upstream.requests() == 0);
 }
 
+TEST_CASE("relay: the header limit holds for callers however the header fields arrive", "[relay][endless]")
+{
+    relay_fixture fixture;
+    caller client(fixture);
+    std::string fields;
+    for (int i = 0; i < 30; ++i) {
+        fields += "-Field: value\r\nX";
+    }
+    const auto startedAt = std::chrono::steady_clock::now();
+    scripted_upstream::writeEndlessly(client.socket(), "GET /once/c HTTP/1.1\r\nHost: x\r\nX", fields, milliseconds(1));
+    REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(1500));
+}
+
 // As with upstreams, the time limits must hold for a caller whose bytes are always there.
 TEST_CASE("relay: a caller that sends without end is disconnected in time", "[relay][endless]")
 {
