relay: tests of refusals that an upstream writes once more

A faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told "not run, try again" for requests that ran. With ids that differ this does not happen here: a copy that has the earlier id is skipped, at once with the response or 50 ms before it, with 503, 429 or 421; a copy without an id (503, 421, 400) ends the attempt as broken, so that the caller gets 502, which promises nothing. In all cases the request ran once.

--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -471,6 +471,46 @@
     REQUIRE(other.requests() == 6);
 }
 
+// A faulty upstream writes an earlier refusal once more on a kept connection. Taken for the response to the current request, which
+// runs, it would make the relay send that request to another upstream, or promise its caller that it has not run.
+TEST_CASE("relay: a refusal that is written once more is not taken for the response to another request", "[relay][repeated]")
+{
+    const auto [status, repeatsId, pause] = GENERATE(table<std::string, bool, int>({
+        {"503 Busy", true, 0},
+        {"429 Busy", true, 0},
+        {"421 Misdirected", true, 0},
+        {"503 Busy", true, 50},
+        {"503 Busy", false, 0},
+        {"421 Misdirected", false, 0},
+        {"400 No id", false, 0},
+    }));
+    CAPTURE(status, repeatsId, pause);
+    const auto refusal = [](const std::string &statusLine, const std::string &id) {
+        return "HTTP/1.1 " + statusLine + "\r\n" + (id.empty() ? std::string() : "Request-Id: " + id + "\r\n")
+            + "Not-Executed: full\r\nContent-Length: 0\r\n\r\n";
+    };
+    std::atomic<int> ran {0};
+    scripted_upstream upstream([&, status = status, repeatsId = repeatsId, pause = pause](const received_request &request, scripted_upstream::socket &to) {
+        const auto id = request.field("Request-Id");
+        if (id == "once/refused") {
+            // An upstream that has answered 421 gets no requests for a while, and would not show the copy.
+            scripted_upstream::write(to, refusal("503 Busy", id));
+            return true;
+        }
+        ++ran;
+        scripted_upstream::write(to, refusal(status, repeatsId ? "once/refused" : ""));
+        std::this_thread::sleep_for(milliseconds(pause));
+        return echo(request, to);
+    });
+    relay_fixture fixture({&upstream});
+    caller client(fixture);
+    REQUIRE(client.exchange("POST", "/once/refused", "", "x").result_int() == 503);
+    REQUIRE(client.exchange("POST", "/once/ran", "", "x").result_int() == (repeatsId ? 200 : 502));
+    REQUIRE(ran == 1);
+    // After a broken connection the relay probes the address.
+    REQUIRE((upstream.connections() == 1 || !repeatsId));
+}
+
 TEST_CASE("relay: when nobody ran it the refusal says so and when to come back", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
