relay: no kept connection for an id that was refused on it, or for none

What callers saw: 503, not run, for a request that an upstream ran, when the upstream wrote the refusal of an earlier request once more and both requests had the same id, or none. The protocol gives each attempt its own id, and an attempt of the relay never returns to an upstream that refused the request; so only callers that keep their ids, or send none, were affected. Cause: the id is the only thing that tells a late response from the expected one, and a request without an id matched every response without one. Class: an identity that is taken to be unique without being checked. Change: a connection keeps the ids that were refused on it, 64 at most, and takes no request with one of them; a request without an id gets a connection of its own. Evidence: "… not taken for the response to a request with the same id" printed "503 (0x1f7) == 200" before, with the same id and without one, and the upstream had run the request.

--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -33,6 +33,8 @@
 constexpr int maxInterimResponses = 16;
 // How long the rest of a refusal is awaited in order to reuse the connection. The header alone states that the request has not run.
 constexpr milliseconds refusalBodyTimeout {100};
+// Refusals after which a connection is no longer reused, which limits the ids that it keeps.
+constexpr std::size_t maxRefusalsPerConnection = 64;
 // Idle connections are reused for the keep-alive timeout of the upstream divided by this.
 constexpr int idleTimeoutDivisor = 2;
 constexpr milliseconds defaultIdleTimeout {4000};
@@ -84,7 +86,7 @@
 asio::awaitable<attempt_outcome> upstream_attempt::run(request_context &context, const dispatch_grant &grant)
 {
     attempt_outcome outcome;
-    m_connection = m_pool.acquire(grant.address, grant.instance, grant.incarnation, m_parts.clock.now());
+    m_connection = m_pool.acquire(grant.address, grant.instance, grant.incarnation, context.id, m_parts.clock.now());
     if (!m_connection && !co_await connect(context, grant)) {
         outcome.end = m_cancelled ? dispatch_outcome::abandoned : dispatch_outcome::unreachable;
         co_return outcome;
@@ -96,6 +98,8 @@
     ++context.attemptsSent;
     context.lastSentAt = m_parts.clock.now();
     m_connection->stream.expires_at(context.deadline + responseGrace);
+    // Only the id tells a later response on the same connection from this one.
+    m_notReusable = m_notReusable || context.id.empty();
     if (co_await sendRequest(context, grant, outcome)) {
         co_await readResponse(context, grant, outcome);
     }
@@ -224,6 +228,7 @@
         }
         if (isRefusal) {
             outcome.mayHaveRun = false;
+            m_connection->refusedIds.push_back(context.id);
             outcome.end = isMisdirected ? dispatch_outcome::misdirected : dispatch_outcome::shed;
         } else if (!isIntact) {
             outcome.end = dispatch_outcome::broke;
@@ -260,7 +265,7 @@
 void upstream_attempt::releaseConnection(std::unique_ptr<upstream_connection> connection, const upstream_response::parser_type &parser,
                                          const dispatch_grant &grant)
 {
-    const bool reusable = !m_notReusable && parser.keep_alive() && connection->buffer.size() == 0;
+    const bool reusable = !m_notReusable && parser.keep_alive() && connection->buffer.size() == 0 && connection->refusedIds.size() < maxRefusalsPerConnection;
     if (!reusable) {
         return;
     }
--- a/src/relay/upstream_connection.cpp
+++ b/src/relay/upstream_connection.cpp
@@ -1,5 +1,6 @@
 #include "upstream_connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 
@@ -30,17 +31,18 @@
 } // namespace
 
 std::unique_ptr<upstream_connection> upstream_connection_pool::acquire(const std::string &address, const instance_name &instance, std::uint64_t incarnation,
-                                                                       steady_time now)
+                                                                       std::string_view id, steady_time now)
 {
     const auto found = m_idle.find({.address = address, .instance = instance, .incarnation = incarnation});
-    if (found == m_idle.end()) {
+    if (found == m_idle.end() || id.empty()) {
         return nullptr;
     }
     auto &connections = found->second;
     while (!connections.empty()) {
         auto connection = std::move(connections.back());
         connections.pop_back();
-        if (now < connection->idleDeadline && hasNoPendingInput(*connection)) {
+        const bool wasRefused = std::ranges::find(connection->refusedIds, id) != connection->refusedIds.end();
+        if (!wasRefused && now < connection->idleDeadline && hasNoPendingInput(*connection)) {
             return connection;
         }
     }
--- a/src/relay/upstream_connection.h
+++ b/src/relay/upstream_connection.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hornbeampick
@@ -28,6 +29,8 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer {maxResponseHeaderBytes};
+    // Ids of the requests that were refused on this connection. A faulty upstream may repeat a refusal.
+    std::vector<std::string> refusedIds;
     // While idle, the connection may be reused until this time.
     steady_time idleDeadline {};
 };
@@ -36,8 +39,10 @@
 class upstream_connection_pool
 {
 public:
-    /// Takes an idle connection that the upstream has neither closed nor written to out of the pool; null when there is none.
-    std::unique_ptr<upstream_connection> acquire(const std::string &address, const instance_name &instance, std::uint64_t incarnation, steady_time now);
+    /// Takes an idle connection that the upstream has neither closed nor written to, and on which no request with this id was refused,
+    /// out of the pool; null when there is none. Requests without an id never share a connection.
+    std::unique_ptr<upstream_connection> acquire(const std::string &address, const instance_name &instance, std::uint64_t incarnation, std::string_view id,
+                                                 steady_time now);
     /// Adds a connection to the pool. It must have carried a complete response and no byte beyond it.
     void release(const std::string &address, const instance_name &instance, std::uint64_t incarnation, std::unique_ptr<upstream_connection> connection);
     /// Closes connections whose idle deadline has passed.
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -511,6 +511,34 @@
     REQUIRE((upstream.connections() == 1 || !repeatsId));
 }
 
+// The caller's requests have the same id or none, so the id does not tell the copy from the response.
+TEST_CASE("relay: a refusal that is written once more is not taken for the response to a request with the same id", "[relay][repeated]")
+{
+    const auto id = GENERATE(as<std::string> {}, "Request-Id: same\r\n", "");
+    CAPTURE(id);
+    const std::string refusal = "HTTP/1.1 503 Busy\r\n" + id + "Not-Executed: full\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<int> ran {0};
+    scripted_upstream upstream([&](const received_request &request, scripted_upstream::socket &to) {
+        if (request.line().find("/once/refused") != std::string::npos) {
+            scripted_upstream::write(to, refusal);
+            return true;
+        }
+        ++ran;
+        const std::string copy = upstream.connections() == 1 ? refusal : std::string();
+        scripted_upstream::write(to, copy + "HTTP/1.1 200 OK\r\n" + id + "Server-Stamp: mark\r\nContent-Length: 4\r\n\r\nmine");
+        return true;
+    });
+    relay_fixture fixture({&upstream});
+    caller client(fixture);
+    client.send("POST /once/refused HTTP/1.1\r\nHost: x\r\n" + id + "Content-Length: 1\r\n\r\nx");
+    REQUIRE(client.read().result_int() == 503);
+    client.send("POST /once/ran HTTP/1.1\r\nHost: x\r\n" + id + "Content-Length: 1\r\n\r\nx");
+    const auto answer = client.read();
+    REQUIRE(ran == 1);
+    REQUIRE(answer.result_int() == 200);
+    REQUIRE(answer.body() == "mine");
+}
+
 TEST_CASE("relay: when nobody ran it the refusal says so and when to come back", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
