relay: a long body goes on after a response that is not its final one

What callers saw: 504 at the deadline for a request with a long body, when an earlier refusal that the upstream wrote once more, or an interim response, came while the body was being sent. Cause: any bytes from the upstream ended the sending; the response was skipped by its id, and upstream and relay then waited for each other. Class: a step that is left early is not taken up again. Change: after a skipped response the rest of the body is sent. Evidence: "a late or interim response in the middle of a long body …" printed "504 (0x1f8) == 200" before, for both responses.

--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -154,7 +154,7 @@
     std::string payload;
     while (!context.parser.is_done()) {
         error_code ignored;
-        if (m_connection->stream.socket().available(ignored) > 0) {
+        if (m_connection->buffer.size() > 0 || m_connection->stream.socket().available(ignored) > 0) {
             m_notReusable = true;
             co_return true;
         }
@@ -183,6 +183,16 @@
     co_return true;
 }
 
+// Goes on with a long body that was interrupted by a response other than the final one to this request. Returns true when a response
+// should be read.
+asio::awaitable<bool> upstream_attempt::resumeBody(request_context &context, attempt_outcome &outcome)
+{
+    if (context.parser.is_done()) {
+        co_return true;
+    }
+    co_return co_await streamBody(context, outcome);
+}
+
 asio::awaitable<void> upstream_attempt::readResponse(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome)
 {
     const bool isHeadRequest = context.parser.get().method() == http::verb::head;
@@ -201,6 +211,10 @@
         }
         if (response.status() < static_cast<unsigned>(http::status::ok)) {
             ++interimResponses;
+            const bool isSent = co_await resumeBody(context, outcome);
+            if (!isSent) {
+                co_return;
+            }
             continue;
         }
         const auto metadata = m_parts.headerCodec.decodeResponse(beast_header_view(response.parser->get()));
@@ -224,6 +238,10 @@
                 co_return;
             }
             ++lateResponses;
+            const bool isSent = co_await resumeBody(context, outcome);
+            if (!isSent) {
+                co_return;
+            }
             continue;
         }
         if (isRefusal) {
--- a/src/relay/upstream_attempt.h
+++ b/src/relay/upstream_attempt.h
@@ -67,6 +67,7 @@
     boost::asio::awaitable<bool> connect(request_context &context, const dispatch_grant &grant);
     boost::asio::awaitable<bool> sendRequest(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome);
     boost::asio::awaitable<bool> streamBody(request_context &context, attempt_outcome &outcome);
+    boost::asio::awaitable<bool> resumeBody(request_context &context, attempt_outcome &outcome);
     boost::asio::awaitable<void> readResponse(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome);
     boost::asio::awaitable<bool> bufferBody(upstream_response &response, steady_time deadline);
     boost::asio::awaitable<bool> refusesConnections(const std::string &address);
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -539,6 +539,53 @@
     REQUIRE(answer.body() == "mine");
 }
 
+// The copy arrives while the body is still being sent. The rest of the body must follow, or upstream and relay wait for each other.
+TEST_CASE("relay: a late or interim response in the middle of a long body does not stop the body", "[relay][repeated]")
+{
+    const auto early = GENERATE(as<std::string> {}, "HTTP/1.1 503 Busy\r\nRequest-Id: earlier\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n",
+                                "HTTP/1.1 100 Continue\r\n\r\n");
+    CAPTURE(early);
+    constexpr std::size_t bodyBytes = 3000000;
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    std::thread server([&] {
+        tcp::socket socket(context);
+        acceptor.accept(socket);
+        std::string received;
+        std::array<char, 65536> piece {};
+        boost::system::error_code error;
+        while (!error && received.size() < bodyBytes) {
+            const auto count = socket.read_some(asio::buffer(piece), error);
+            if (received.empty()) {
+                scripted_upstream::write(socket, early);
+            }
+            received.append(piece.data(), count);
+        }
+        scripted_upstream::write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: e\r\nServer-Stamp: mark\r\nContent-Length: 4\r\n\r\nmine");
+        while (!error) {
+            socket.read_some(asio::buffer(piece), error);
+        }
+    });
+    relay_fixture fixture;
+    const std::vector<known_upstream> known {{.report = {.service = service_name("s"),
+                                                         .instance = instance_name("e"),
+                                                         .address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                                                         .domain = domain_name("home-a"),
+                                                         .incarnation = 1,
+                                                         .slots = 8}}};
+    fixture.steering.setUpstreams(known);
+    caller client(fixture);
+    client.send("POST /once/e HTTP/1.1\r\nHost: x\r\nRequest-Id: e\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(100000, 'x'));
+    std::this_thread::sleep_for(milliseconds(50));
+    client.send(std::string(bodyBytes - 100000, 'y'));
+    const auto answer = client.read();
+    client.close();
+    fixture.server->stop();
+    server.join();
+    REQUIRE(answer.result_int() == 200);
+    REQUIRE(answer.body() == "mine");
+}
+
 TEST_CASE("relay: when nobody ran it the refusal says so and when to come back", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
