--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -241,7 +241,8 @@
         }
         const bool reusable = parser.get().keep_alive() && buffer.size() == 0;
         fillResult(result, parser.release());
-        if (reusable) {
+        // A faulty upstream may write a refusal once more, and nothing would tell the copy from the next response.
+        if (reusable && result.end != attempt_status::shed) {
             stream.expires_never();
             returnIdle(address, stream.release_socket());
         }
--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -70,3 +70,24 @@
     REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(800));
     REQUIRE((result.end == attempt_status::timedOut || result.end == attempt_status::broke));
 }
+
+// Responses of these upstreams carry no id. On a kept connection, a copy of an earlier refusal would be taken for the response to the
+// next request, which runs, and that request would be sent to another upstream as well.
+TEST_CASE("upstream_client: a refusal that is written once more is not taken for the response to another request", "[http][repeated]")
+{
+    const auto status = GENERATE(as<std::string> {}, "503 Busy", "429 Busy");
+    CAPTURE(status);
+    const std::string refusal = "HTTP/1.1 " + status + "\r\nHornbeampick-Outcome: not-run\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<int> seen {0};
+    scripted_upstream upstream([&](const received_request &request, scripted_upstream::socket &to) {
+        const bool isFirst = ++seen == 1;
+        scripted_upstream::write(to, isFirst || upstream.connections() == 1 ? refusal : scripted_upstream::answer(request, "mine"));
+        return true;
+    });
+    const auto client = makeUpstreamClient({});
+    REQUIRE(sendOnce(*client, upstream.address(), milliseconds(1000)).end == attempt_status::shed);
+    const auto result = sendOnce(*client, upstream.address(), milliseconds(1000));
+    REQUIRE(seen == 2);
+    REQUIRE(result.end == attempt_status::answered);
+    REQUIRE(result.body == "mine");
+}
