--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -3,6 +3,7 @@
 #include "core/digest.h"
 #include "core/shards.h"
 #include "core/text.h"
+#include "http/message_reader.h"
 
 #include <algorithm>
 #include <array>
@@ -36,6 +37,8 @@
 constexpr std::array unforwardedHeaders {
     "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
     "host",       "expect",     "proxy-connection"};
+// Maximum size of a response header, of a chunk header with its extensions, and of the trailer fields.
+constexpr std::uint32_t maxResponseHeaderBytes = 16384;
 constexpr std::string_view outcomeHeader = "Hornbeampick-Outcome";
 
 bool isUnforwardedHeader(std::string_view name)
@@ -224,20 +227,22 @@
             result.end = writeError == beast::error::timeout ? attempt_status::timedOut : attempt_status::broke;
             co_return result;
         }
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(maxResponseHeaderBytes);
         http::response_parser<http::string_body> parser;
+        parser.header_limit(maxResponseHeaderBytes);
         parser.body_limit(m_options.maxResponseBytes);
         if (request.method == "HEAD") {
             parser.skip(true);
         }
-        const auto [readError, read] = co_await http::async_read(stream, buffer, parser, noThrow);
+        const auto readError = co_await readMessage(stream, buffer, parser, message_part::whole, request.deadline);
         if (readError) {
             result.end = readError == beast::error::timeout ? attempt_status::timedOut : attempt_status::broke;
             co_return result;
         }
         const bool reusable = parser.get().keep_alive() && buffer.size() == 0;
         fillResult(result, parser.release());
-        if (reusable) {
+        // A faulty upstream may write a refusal once more, and nothing would tell the copy from the next response.
+        if (reusable && result.end != attempt_status::shed) {
             stream.expires_never();
             returnIdle(address, stream.release_socket());
         }
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 namespace hornbeampick
 {
@@ -30,9 +29,14 @@
 constexpr milliseconds probeTimeout {300};
 // The upstream itself stops at the deadline; its response then still has to travel back.
 constexpr milliseconds responseGrace {100};
-constexpr std::uint32_t maxResponseHeaderBytes = 65536;
 // Late responses to earlier requests that one attempt skips before it treats the connection as broken.
 constexpr int maxLateResponses = 4;
+// Interim responses that one attempt skips before it treats the connection as broken.
+constexpr int maxInterimResponses = 16;
+// How long the rest of a refusal is awaited in order to reuse the connection. The header alone states that the request has not run.
+constexpr milliseconds refusalBodyTimeout {100};
+// Refusals after which a connection is no longer reused, which limits the ids that it keeps.
+constexpr std::size_t maxRefusalsPerConnection = 64;
 // Idle connections are reused for the keep-alive timeout of the upstream divided by this.
 constexpr int idleTimeoutDivisor = 2;
 constexpr milliseconds defaultIdleTimeout {4000};
@@ -57,6 +61,12 @@
     return {.length = length ? std::optional<std::uint64_t>(*length) : std::nullopt, .chunked = false};
 }
 
+// Returns false when the header shows that the body ends only with its connection, or exceeds `maxBufferedBodyBytes`.
+bool mayFitBuffer(const upstream_response::parser_type &parser)
+{
+    return parser.is_done() || (!parser.need_eof() && parser.content_length().value_or(0) <= maxBufferedBodyBytes);
+}
+
 } // namespace
 
 upstream_attempt::upstream_attempt(const relay_parts &parts, upstream_connection_pool &pool, beast::tcp_stream &callerStream, beast::flat_buffer &callerBuffer)
@@ -98,7 +108,7 @@
 asio::awaitable<attempt_outcome> upstream_attempt::exchange(request_context &context, const dispatch_grant &grant)
 {
     attempt_outcome outcome;
-    m_connection = m_pool.acquire(grant.address, grant.instance, grant.incarnation, m_parts.clock.now());
+    m_connection = m_pool.acquire(grant.address, grant.instance, grant.incarnation, context.id, m_parts.clock.now());
     if (!m_connection && !co_await connect(context, grant)) {
         outcome.end = m_cancelled ? dispatch_outcome::abandoned : dispatch_outcome::unreachable;
         co_return outcome;
@@ -110,6 +120,8 @@
     context.attemptsSent += m_throughPeer ? 0 : 1;
     context.lastSentAt = m_parts.clock.now();
     m_connection->stream.expires_at(context.deadline + responseGrace);
+    // Only the id tells a later response on the same connection from this one.
+    m_notReusable = m_notReusable || context.id.empty();
     if (co_await sendRequest(context, grant, outcome)) {
         co_await readResponse(context, grant, outcome);
     }
@@ -167,16 +179,15 @@
 {
     context.isBodyStreamed = true;
     const bool chunked = context.parser.chunked();
-    m_callerStream.expires_at(context.deadline);
     std::string payload;
     while (!context.parser.is_done()) {
         error_code ignored;
-        if (m_connection->stream.socket().available(ignored) > 0) {
+        if (m_connection->buffer.size() > 0 || m_connection->stream.socket().available(ignored) > 0) {
             m_notReusable = true;
             co_return true;
         }
         payload.clear();
-        const auto broken = co_await readSomeBody(m_callerStream, m_callerBuffer, context.parser, payload);
+        const auto broken = co_await readSomeBody(m_callerStream, m_callerBuffer, context.parser, payload, context.deadline);
         if (broken) {
             outcome.callerError = broken == http::error::body_limit ? errc::bodyTooLarge : errc::callerLeft;
             outcome.end = dispatch_outcome::abandoned;
@@ -200,16 +211,28 @@
     co_return true;
 }
 
+// Goes on with a long body that was interrupted by a response other than the final one to this request. Returns true when a response
+// should be read.
+asio::awaitable<bool> upstream_attempt::resumeBody(request_context &context, attempt_outcome &outcome)
+{
+    if (context.parser.is_done()) {
+        co_return true;
+    }
+    co_return co_await streamBody(context, outcome);
+}
+
 asio::awaitable<void> upstream_attempt::readResponse(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome)
 {
     const bool isHeadRequest = context.parser.get().method() == http::verb::head;
-    for (int lateResponses = 0; lateResponses < maxLateResponses;) {
+    const auto deadline = context.deadline + responseGrace;
+    int interimResponses = 0;
+    for (int lateResponses = 0; lateResponses < maxLateResponses && interimResponses < maxInterimResponses;) {
         upstream_response response;
         response.parser = std::make_unique<upstream_response::parser_type>();
         response.parser->header_limit(maxResponseHeaderBytes);
         response.parser->body_limit(boost::none);
         response.parser->skip(isHeadRequest);
-        const auto [failed, count] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *response.parser, noThrow);
+        const auto failed = co_await readMessage(m_connection->stream, m_connection->buffer, *response.parser, message_part::header, deadline);
         if (failed) {
             outcome.end = endOf(failed);
             co_return;
@@ -218,30 +241,48 @@
             m_parts.reachability.onResponse();
         }
         if (response.status() < static_cast<unsigned>(http::status::ok)) {
+            ++interimResponses;
+            const bool isSent = co_await resumeBody(context, outcome);
+            if (!isSent) {
+                co_return;
+            }
             continue;
         }
         const auto metadata = m_parts.headerCodec.decodeResponse(beast_header_view(response.parser->get()));
         const bool isMatching = metadata.id == context.id;
         const bool isMisdirected = response.status() == static_cast<unsigned>(http::status::misdirected_request);
+        const bool isRefusal = metadata.notRun || isMisdirected;
         if (!isMisdirected) {
             recordUpstreamState(context, grant, response, metadata, outcome);
         }
-        const bool isIntact = co_await bufferBody(response);
+        if (isMatching) {
+            outcome.load = metadata.load;
+            outcome.warmupRemaining = metadata.warmupRemaining;
+        }
+        const bool isUsable = isMatching ? isRefusal || metadata.hasServerStamp : !metadata.id.empty() && mayFitBuffer(*response.parser);
+        if (!isUsable) {
+            outcome.end = dispatch_outcome::broke;
+            co_return;
+        }
+        const bool isIntact = co_await bufferBody(response, isMatching && isRefusal ? std::min(deadline, m_parts.clock.now() + refusalBodyTimeout) : deadline);
         if (!isMatching) {
             // This is a late response to an earlier request; the matching one may still follow.
-            if (!isIntact || !response.isComplete() || metadata.id.empty() || response.parser->need_eof()) {
+            if (!isIntact || !response.isComplete()) {
                 outcome.end = dispatch_outcome::broke;
                 co_return;
             }
             ++lateResponses;
+            const bool isSent = co_await resumeBody(context, outcome);
+            if (!isSent) {
+                co_return;
+            }
             continue;
         }
-        outcome.load = metadata.load;
-        outcome.warmupRemaining = metadata.warmupRemaining;
-        if (metadata.notRun || isMisdirected) {
+        if (isRefusal) {
             outcome.mayHaveRun = false;
+            m_connection->refusedIds.push_back(context.id);
             outcome.end = isMisdirected ? dispatch_outcome::misdirected : dispatch_outcome::shed;
-        } else if (!isIntact || !metadata.hasServerStamp) {
+        } else if (!isIntact) {
             outcome.end = dispatch_outcome::broke;
             co_return;
         } else {
@@ -282,11 +323,11 @@
     }
 }
 
-// Buffers the body up to the limit. Returns false when it is truncated.
-asio::awaitable<bool> upstream_attempt::bufferBody(upstream_response &response)
+// Buffers the body up to the limit. Returns false when it is truncated or has not come by the deadline.
+asio::awaitable<bool> upstream_attempt::bufferBody(upstream_response &response, steady_time deadline)
 {
     while (!response.parser->is_done() && response.body.size() < maxBufferedBodyBytes) {
-        const auto failed = co_await readSomeBody(m_connection->stream, m_connection->buffer, *response.parser, response.body);
+        const auto failed = co_await readSomeBody(m_connection->stream, m_connection->buffer, *response.parser, response.body, deadline);
         if (failed) {
             co_return false;
         }
@@ -297,7 +338,7 @@
 void upstream_attempt::releaseConnection(std::unique_ptr<upstream_connection> connection, const upstream_response::parser_type &parser,
                                          const dispatch_grant &grant)
 {
-    const bool reusable = !m_notReusable && parser.keep_alive() && connection->buffer.size() == 0;
+    const bool reusable = !m_notReusable && parser.keep_alive() && connection->buffer.size() == 0 && connection->refusedIds.size() < maxRefusalsPerConnection;
     if (!reusable) {
         return;
     }
--- a/tests/fakes/scripted_upstream.h
+++ b/tests/fakes/scripted_upstream.h
@@ -45,10 +45,16 @@
     /// Stops accepting connections and shuts down the open ones.
     void close();
 
+    /// Upper bound in bytes of what one peer can write into the buffers of both sockets while the other reads little or nothing.
+    static constexpr std::size_t maxUnreadBytes = 16U << 20U;
+
     /// Writes all of `bytes`.
     static void write(socket &to, const std::string &bytes);
     /// Returns a complete 200 answer to `request` with its Request-Id and a Server-Stamp header; `more` holds further header lines.
     static std::string answer(const received_request &request, const std::string &body, const std::string &more = "");
+    /// Writes `head` and then repeats `piece` until the peer closes the connection, for at most 3 s or 256 MB. Waits for `pause` after
+    /// each piece; without a pause it writes as fast as the peer reads. Returns the number of bytes written.
+    static std::size_t writeEndlessly(socket &to, const std::string &head, const std::string &piece, std::chrono::milliseconds pause = {});
     /// Returns true if the peer closes the connection within `wait`.
     static bool awaitClose(socket &from, std::chrono::milliseconds wait);
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -138,6 +138,20 @@
         return parser.release();
     }
 
+    // Reads and discards until the connection ends. Returns the last bytes before that.
+    std::string readToEnd()
+    {
+        std::string last;
+        std::array<char, 65536> piece {};
+        boost::system::error_code error;
+        while (!error) {
+            const auto count = m_socket.read_some(asio::buffer(piece), error);
+            last.append(piece.data(), count);
+            last.erase(0, last.size() - std::min<std::size_t>(last.size(), 64));
+        }
+        return last;
+    }
+
     response exchange(const std::string &method, const std::string &target, const std::string &moreFields = "", const std::string &body = "")
     {
         send(method + " " + target + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + target.substr(1) + "\r\nDeadline-Ms: 2500\r\n" + moreFields
@@ -189,6 +203,87 @@
     return "HTTP/1.1 503 Busy\r\nRequest-Id: " + request.field("Request-Id") + "\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n";
 }
 
+// Bytes that a faulty upstream sends in response to a request: `head` once, then `piece` without end.
+struct endless_form {
+    std::string name;
+    std::function<std::string(const std::string &id)> head;
+    std::string piece;
+    // The head, or each piece by itself, shows that no response to the request follows.
+    bool isKnownFromHead = false;
+};
+
+std::function<std::string(const std::string &id)> withHead(const std::string &statusLine, const std::string &moreFields)
+{
+    return [=](const std::string &id) { return "HTTP/1.1 " + statusLine + "\r\nRequest-Id: " + id + "\r\n" + moreFields + "\r\n"; };
+}
+
+std::function<std::string(const std::string &id)> fixed(const std::string &bytes)
+{
+    return [=](const std::string &) { return bytes; };
+}
+
+std::vector<endless_form> brokenForms()
+{
+    const std::string stamp = "Server-Stamp: mark\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string veryLong = "Content-Length: 1000000000000\r\n";
+    const std::string other = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: mark\r\n";
+    const auto startOf = [=](const std::string &body) {
+        return [=](const std::string &id) { return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: mark\r\n" + chunked + "\r\n" + body; };
+    };
+    return {
+        {.name = "status line", .head = fixed("HTTP/1.1 200 "), .piece = "x"},
+        {.name = "header fields", .head = fixed("HTTP/1.1 200 OK\r\n"), .piece = "X-Field: longer value\r\n"},
+        {.name = "interim responses", .head = fixed(""), .piece = "HTTP/1.1 100 Continue\r\n\r\n", .isKnownFromHead = true},
+        {.name = "chunk extension", .head = startOf("5;a="), .piece = "x"},
+        {.name = "trailer fields", .head = startOf("0\r\n"), .piece = "X-Trailer: value\r\n"},
+        {.name = "body for another request", .head = fixed(other + "\r\n"), .piece = "x", .isKnownFromHead = true},
+        {.name = "body for another request, with a length", .head = fixed(other + veryLong + "\r\n"), .piece = "x", .isKnownFromHead = true},
+        {.name = "body for another request, in chunks", .head = fixed(other + chunked + "\r\n"), .piece = "4\r\nbody\r\n"},
+        {.name = "body without stamp", .head = withHead("200 OK", ""), .piece = "x", .isKnownFromHead = true},
+        {.name = "body without stamp, in chunks", .head = withHead("200 OK", chunked), .piece = "4\r\nbody\r\n", .isKnownFromHead = true},
+        {.name = "refusal", .head = withHead("503 Busy", stamp + "Not-Executed: full\r\n"), .piece = "x", .isKnownFromHead = true},
+        {.name = "refusal in chunks", .head = withHead("503 Busy", "Not-Executed: full\r\n" + chunked), .piece = "4\r\nbody\r\n", .isKnownFromHead = true},
+        {.name = "refusal with a length", .head = withHead("429 Busy", "Not-Executed: full\r\n" + veryLong), .piece = "x", .isKnownFromHead = true},
+    };
+}
+
+std::vector<endless_form> endlessBodies()
+{
+    const std::string stamp = "Server-Stamp: mark\r\n";
+    return {
+        {.name = "until the connection ends", .head = withHead("200 OK", stamp), .piece = "x"},
+        {.name = "with a length", .head = withHead("200 OK", stamp + "Content-Length: 1000000000000\r\n"), .piece = "x"},
+        {.name = "in chunks", .head = withHead("200 OK", stamp + "Transfer-Encoding: chunked\r\n"), .piece = "4\r\nbody\r\n"},
+        {.name = "in chunks with extensions",
+         .head = withHead("200 OK", stamp + "Transfer-Encoding: chunked\r\n"),
+         .piece = "1;a=" + std::string(4000, 'x') + "\r\nx\r\n"},
+    };
+}
+
+// Sends requests that may be repeated until `form` has come in response to some of them, and requires that another upstream serves all
+// of them well before their deadline.
+void requireServedByAnother(const endless_form &form, milliseconds pause)
+{
+    std::atomic<std::size_t> written {0};
+    auto endless = std::make_unique<scripted_upstream>([&](const received_request &request, scripted_upstream::socket &to) {
+        written += scripted_upstream::writeEndlessly(to, form.head(request.field("Request-Id")), form.piece, pause);
+        return false;
+    });
+    scripted_upstream good(echo);
+    relay_fixture fixture({endless.get(), &good});
+    caller client(fixture);
+    for (int i = 0; i < 6; ++i) {
+        const auto startedAt = std::chrono::steady_clock::now();
+        REQUIRE(client.exchange("GET", "/again/" + std::to_string(i)).result_int() == 200);
+        REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(1000));
+    }
+    const auto requests = endless->requests();
+    REQUIRE(requests > 0);
+    endless.reset();
+    REQUIRE(written < requests * scripted_upstream::maxUnreadBytes);
+}
+
 bool eventually(const std::function<bool()> &condition)
 {
     const auto end = std::chrono::steady_clock::now() + seconds(5);
@@ -337,6 +432,53 @@
     REQUIRE(client.exchange("GET", "/once/m").result_int() == 502);
 }
 
+// A faulty upstream sends bytes that are no response without end. The attempt must end as soon as that is known: neither memory nor
+// time up to the deadline may be spent on them, and a request that may be repeated goes to another upstream.
+TEST_CASE("relay: bytes without end that are no response end the attempt at once", "[relay][endless]")
+{
+    const auto form = GENERATE(from_range(brokenForms()));
+    CAPTURE(form.name);
+    requireServedByAnother(form, milliseconds(0));
+}
+
+TEST_CASE("relay: a head after which no response can follow ends the attempt at once, however slowly the rest comes", "[relay][endless]")
+{
+    const auto form = GENERATE(filter([](const endless_form &each) { return each.isKnownFromHead; }, from_range(brokenForms())));
+    CAPTURE(form.name);
+    requireServedByAnother(form, milliseconds(20));
+}
+
+// The upstream's response cannot be told from a proper one before the deadline. It may be relayed until then and must not look
+// complete. A peer whose bytes are always there never makes a read wait, and the timer of a stream does not fire between reads.
+TEST_CASE("relay: a response without end is cut off at the deadline and does not look complete", "[relay][endless]")
+{
+    const auto form = GENERATE(from_range(endlessBodies()));
+    CAPTURE(form.name);
+    const milliseconds pause {GENERATE(0, 20)};
+    CAPTURE(pause.count());
+    scripted_upstream endless([&](const received_request &request, scripted_upstream::socket &to) {
+        scripted_upstream::writeEndlessly(to, form.head(request.field("Request-Id")), form.piece, pause);
+        return false;
+    });
+    relay_fixture fixture({&endless});
+    caller client(fixture);
+    const auto startedAt = std::chrono::steady_clock::now();
+    client.send("GET /short/e HTTP/1.1\r\nHost: x\r\nRequest-Id: e\r\nDeadline-Ms: 2500\r\nConnection: close\r\n\r\n");
+    const auto end = client.readToEnd();
+    REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(800));
+    REQUIRE_FALSE(end.ends_with("0\r\n\r\n"));
+}
+
+// When a read ends within the first two bytes of a field, the parser has consumed all fields before it, and does not count them.
+TEST_CASE("relay: the header limit holds however the header fields arrive", "[relay][endless]")
+{
+    std::string fields;
+    for (int i = 0; i < 30; ++i) {
+        fields += "-Field: value\r\nX";
+    }
+    requireServedByAnother({.name = "split", .head = fixed("HTTP/1.1 200 OK\r\nX"), .piece = fields}, milliseconds(1));
+}
+
 TEST_CASE("relay: what an upstream did not run goes to the next, also when it may run once", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
@@ -353,6 +495,121 @@
     REQUIRE(other.requests() == 6);
 }
 
+// A faulty upstream writes an earlier refusal once more on a kept connection. Taken for the response to the current request, which
+// runs, it would make the relay send that request to another upstream, or promise its caller that it has not run.
+TEST_CASE("relay: a refusal that is written once more is not taken for the response to another request", "[relay][repeated]")
+{
+    const auto [status, repeatsId, pause] = GENERATE(table<std::string, bool, int>({
+        {"503 Busy", true, 0},
+        {"429 Busy", true, 0},
+        {"421 Misdirected", true, 0},
+        {"503 Busy", true, 50},
+        {"503 Busy", false, 0},
+        {"421 Misdirected", false, 0},
+        {"400 No id", false, 0},
+    }));
+    CAPTURE(status, repeatsId, pause);
+    const auto refusal = [](const std::string &statusLine, const std::string &id) {
+        return "HTTP/1.1 " + statusLine + "\r\n" + (id.empty() ? std::string() : "Request-Id: " + id + "\r\n")
+            + "Not-Executed: full\r\nContent-Length: 0\r\n\r\n";
+    };
+    std::atomic<int> ran {0};
+    scripted_upstream upstream([&, status = status, repeatsId = repeatsId, pause = pause](const received_request &request, scripted_upstream::socket &to) {
+        const auto id = request.field("Request-Id");
+        if (id == "once/refused") {
+            // An upstream that has answered 421 gets no requests for a while, and would not show the copy.
+            scripted_upstream::write(to, refusal("503 Busy", id));
+            return true;
+        }
+        ++ran;
+        scripted_upstream::write(to, refusal(status, repeatsId ? "once/refused" : ""));
+        std::this_thread::sleep_for(milliseconds(pause));
+        return echo(request, to);
+    });
+    relay_fixture fixture({&upstream});
+    caller client(fixture);
+    REQUIRE(client.exchange("POST", "/once/refused", "", "x").result_int() == 503);
+    REQUIRE(client.exchange("POST", "/once/ran", "", "x").result_int() == (repeatsId ? 200 : 502));
+    REQUIRE(ran == 1);
+    // After a broken connection the relay probes the address.
+    REQUIRE((upstream.connections() == 1 || !repeatsId));
+}
+
+// The caller's requests have the same id or none, so the id does not tell the copy from the response.
+TEST_CASE("relay: a refusal that is written once more is not taken for the response to a request with the same id", "[relay][repeated]")
+{
+    const auto id = GENERATE(as<std::string> {}, "Request-Id: same\r\n", "");
+    CAPTURE(id);
+    const std::string refusal = "HTTP/1.1 503 Busy\r\n" + id + "Not-Executed: full\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<int> ran {0};
+    scripted_upstream upstream([&](const received_request &request, scripted_upstream::socket &to) {
+        if (request.line().find("/once/refused") != std::string::npos) {
+            scripted_upstream::write(to, refusal);
+            return true;
+        }
+        ++ran;
+        const std::string copy = upstream.connections() == 1 ? refusal : std::string();
+        scripted_upstream::write(to, copy + "HTTP/1.1 200 OK\r\n" + id + "Server-Stamp: mark\r\nContent-Length: 4\r\n\r\nmine");
+        return true;
+    });
+    relay_fixture fixture({&upstream});
+    caller client(fixture);
+    client.send("POST /once/refused HTTP/1.1\r\nHost: x\r\n" + id + "Content-Length: 1\r\n\r\nx");
+    REQUIRE(client.read().result_int() == 503);
+    client.send("POST /once/ran HTTP/1.1\r\nHost: x\r\n" + id + "Content-Length: 1\r\n\r\nx");
+    const auto answer = client.read();
+    REQUIRE(ran == 1);
+    REQUIRE(answer.result_int() == 200);
+    REQUIRE(answer.body() == "mine");
+}
+
+// The copy arrives while the body is still being sent. The rest of the body must follow, or upstream and relay wait for each other.
+TEST_CASE("relay: a late or interim response in the middle of a long body does not stop the body", "[relay][repeated]")
+{
+    const auto early = GENERATE(as<std::string> {}, "HTTP/1.1 503 Busy\r\nRequest-Id: earlier\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n",
+                                "HTTP/1.1 100 Continue\r\n\r\n");
+    CAPTURE(early);
+    constexpr std::size_t bodyBytes = 3000000;
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    std::thread server([&] {
+        tcp::socket socket(context);
+        acceptor.accept(socket);
+        std::string received;
+        std::array<char, 65536> piece {};
+        boost::system::error_code error;
+        while (!error && received.size() < bodyBytes) {
+            const auto count = socket.read_some(asio::buffer(piece), error);
+            if (received.empty()) {
+                scripted_upstream::write(socket, early);
+            }
+            received.append(piece.data(), count);
+        }
+        scripted_upstream::write(socket, "HTTP/1.1 200 OK\r\nRequest-Id: e\r\nServer-Stamp: mark\r\nContent-Length: 4\r\n\r\nmine");
+        while (!error) {
+            socket.read_some(asio::buffer(piece), error);
+        }
+    });
+    relay_fixture fixture;
+    const std::vector<known_upstream> known {{.report = {.service = service_name("s"),
+                                                         .instance = instance_name("e"),
+                                                         .address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                                                         .domain = domain_name("home-a"),
+                                                         .incarnation = 1,
+                                                         .slots = 8}}};
+    fixture.steering.setUpstreams(known);
+    caller client(fixture);
+    client.send("POST /once/e HTTP/1.1\r\nHost: x\r\nRequest-Id: e\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(100000, 'x'));
+    std::this_thread::sleep_for(milliseconds(50));
+    client.send(std::string(bodyBytes - 100000, 'y'));
+    const auto answer = client.read();
+    client.close();
+    fixture.server->stop();
+    server.join();
+    REQUIRE(answer.result_int() == 200);
+    REQUIRE(answer.body() == "mine");
+}
+
 TEST_CASE("relay: when nobody ran it the refusal says so and when to come back", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
@@ -505,6 +762,55 @@
     REQUIRE(next.exchange("GET", "/once/1").result_int() == 200);
 }
 
+// A caller's body that never gets past a chunk header or the trailer fields was kept in memory until the deadline.
+TEST_CASE("relay: a chunk header or trailer beyond the header limit gets a 4xx at once", "[relay][endless]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture fixture({&upstream});
+    const auto start = GENERATE(as<std::string> {}, "5;a=", "0\r\nX-Trailer: ");
+    CAPTURE(start);
+    caller client(fixture);
+    const auto startedAt = std::chrono::steady_clock::now();
+    client.send("POST /once/c HTTP/1.1\r\nHost: x\r\nRequest-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n" + start + std::string(100000, 'x'));
+    REQUIRE(client.read().result_int() == 431);
+    REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(1000));
+    REQUIRE(upstream.requests() == 0);
+}
+
+TEST_CASE("relay: the header limit holds for callers however the header fields arrive", "[relay][endless]")
+{
+    relay_fixture fixture;
+    caller client(fixture);
+    std::string fields;
+    for (int i = 0; i < 30; ++i) {
+        fields += "-Field: value\r\nX";
+    }
+    const auto startedAt = std::chrono::steady_clock::now();
+    scripted_upstream::writeEndlessly(client.socket(), "GET /once/c HTTP/1.1\r\nHost: x\r\nX", fields, milliseconds(1));
+    REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(1500));
+}
+
+// As with upstreams, the time limits must hold for a caller whose bytes are always there.
+TEST_CASE("relay: a caller that sends without end is disconnected in time", "[relay][endless]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture fixture({&upstream});
+    const std::string head = "POST /short/c HTTP/1.1\r\nHost: x\r\nRequest-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string chunk = "1;a=" + std::string(4000, 'x') + "\r\nx\r\n";
+    const auto [start, piece] = GENERATE_COPY(table<std::string, std::string>({
+        // Until the deadline, then while the connection lingers.
+        {head, chunk},
+        // While the connection lingers after a 400.
+        {"nonsense\r\n\r\n", "x"},
+    }));
+    CAPTURE(start);
+    caller client(fixture);
+    const auto startedAt = std::chrono::steady_clock::now();
+    scripted_upstream::writeEndlessly(client.socket(), start, piece);
+    REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(1000));
+    REQUIRE(upstream.requests() == 0);
+}
+
 TEST_CASE("relay: unknown routes are 404; before any routes are known it is 503", "[relay]")
 {
     relay_fixture fixture;
