nodes: refuse announcements with implausible numbers

Callers saw: one entry of another writer under the name of a healthy upstream, with a huge `seq` or `born`, replaced that upstream's report, and all of its own later heartbeats counted as outdated; its region's objects went elsewhere for as long as the record lived.

Cause: the codec checks that a number fits its type, and nothing checks whether it can be used. Class of fault: input is checked for its form and not for its range.

--- a/include/daemon/control_api.h
+++ b/include/daemon/control_api.h
@@ -28,7 +28,7 @@
     virtual ~control_api() = default;
 
     /// Accepts an upstream's announcement of itself. A deregistration succeeds only once the entry hosts have confirmed it.
-    /// Errors: notConfirmed.
+    /// Errors: malformedAnnouncement, notConfirmed.
     virtual boost::asio::awaitable<status> announce(upstream_report report) = 0;
     /// Brings a version of the routes into force; a version that is not higher than the current one changes nothing.
     /// Errors: routingInvalid, notLeader (definitely not accepted), noQuorum (not confirmed).
--- a/include/fleet/upstream_report.h
+++ b/include/fleet/upstream_report.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/error.h"
 #include "core/names.h"
 
 #include <cstdint>
@@ -42,6 +43,10 @@
     bool operator==(const upstream_report &) const = default;
 };
 
+/// Checks whether the numbers of a report are plausible at the wall-clock time `now`, so that the report can be used and a later one of
+/// the same upstream still replaces it. Errors: malformedAnnouncement.
+status checkReport(const upstream_report &report, wall_ms now);
+
 /// Returns true when `incoming` replaces `known`: a later incarnation, a later report, or a worse state at equal times. Within
 /// an incarnation, `gone` is final, and a change to draining or gone applies even if its report is the older one.
 bool supersedes(const upstream_report &incoming, const upstream_report &known);
--- a/src/fleet/upstream_report.cpp
+++ b/src/fleet/upstream_report.cpp
@@ -1,10 +1,41 @@
 #include "fleet/upstream_report.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace hornbeampick
 {
 
+namespace
+{
+
+constexpr std::uint32_t maxSlots = 65536;
+// Warm-up times are seconds. While one lasts, an upstream receives few requests.
+constexpr milliseconds maxWarmup = std::chrono::minutes(10);
+// The largest whole number that every JSON writer encodes exactly.
+constexpr wall_ms maxSequence = 1LL << 53;
+// Upper bound, with a wide margin, of the time by which the clock of an upstream is ahead of ours.
+constexpr milliseconds maxClockLead = std::chrono::hours(24);
+
+bool isPastOrNear(std::uint64_t time, wall_ms now)
+{
+    return time <= static_cast<std::uint64_t>(std::max<wall_ms>(now, 0) + maxClockLead.count());
+}
+
+bool hasPlausibleNumbers(const upstream_report &report, wall_ms now)
+{
+    const bool hasPlausibleTimes = isPastOrNear(report.incarnation, now) && report.leftAt >= 0 && isPastOrNear(static_cast<std::uint64_t>(report.leftAt), now);
+    const bool hasPlausibleWarmup = report.warmupLeft >= milliseconds(0) && report.warmupLeft <= maxWarmup;
+    return hasPlausibleTimes && hasPlausibleWarmup && report.reportedAt >= 0 && report.reportedAt <= maxSequence && report.slots <= maxSlots;
+}
+
+} // namespace
+
+status checkReport(const upstream_report &report, wall_ms now)
+{
+    return hasPlausibleNumbers(report, now) ? status(success()) : status(make_error_code(errc::malformedAnnouncement));
+}
+
 bool supersedes(const upstream_report &incoming, const upstream_report &known)
 {
     // An upstream that is gone does not return within the same incarnation.
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -119,6 +119,9 @@
 
     asio::awaitable<status> announce(upstream_report report) override
     {
+        if (const auto checked = checkReport(report, m_clock.wallNow()); !checked) {
+            co_return checked.error();
+        }
         if (report.state == upstream_state::gone && report.incarnation == 0) {
             report.leftAt = m_clock.wallNow();
         }
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -4,6 +4,7 @@
 #include "fleet/upstream_directory.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 using namespace hornbeampick;
 using namespace hornbeampick::testing;
@@ -38,6 +39,33 @@
 
 } // namespace
 
+// A report with a far larger number than its successors can have would count as the latest one for good.
+TEST_CASE("announcements: a report with an implausible number is not one to use", "[announcements]")
+{
+    constexpr wall_ms now = 1'790'000'000'000;
+    const auto isUsable = [&](upstream_report report, auto upstream_report::*field, auto value) {
+        report.*field = value;
+        return static_cast<bool>(checkReport(report, now));
+    };
+    const auto good = reportOf("a", now, 5);
+    const auto lead = static_cast<std::uint64_t>(std::chrono::milliseconds(std::chrono::hours(24)).count());
+    REQUIRE(checkReport(good, now));
+    REQUIRE(isUsable(good, &upstream_report::incarnation, std::uint64_t {0}));
+    REQUIRE(isUsable(good, &upstream_report::incarnation, now + lead));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::incarnation, now + lead + 1));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::incarnation, std::numeric_limits<std::uint64_t>::max()));
+    REQUIRE(isUsable(good, &upstream_report::reportedAt, wall_ms {1} << 53));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::reportedAt, (wall_ms {1} << 53) + 1));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::reportedAt, wall_ms {-1}));
+    REQUIRE(isUsable(good, &upstream_report::slots, 65536U));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::slots, 65537U));
+    REQUIRE(isUsable(good, &upstream_report::warmupLeft, milliseconds(600'000)));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::warmupLeft, milliseconds(600'001)));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::warmupLeft, milliseconds(-1)));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::leftAt, std::numeric_limits<wall_ms>::max()));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::leftAt, wall_ms {-1}));
+}
+
 TEST_CASE("announcements: only what changes is numbered; an outdated report changes nothing", "[announcements]")
 {
     manual_clock clock;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -224,6 +224,56 @@
     REQUIRE(callHttp(fixture.fleet.control(0), "POST", "/-/Instances.Heartbeat/i", "{\"state\":7}").status == 400);
 }
 
+// An entry under the name of a healthy upstream, with a huge number, replaced its report, and its later heartbeats counted as outdated.
+TEST_CASE("nodes: an entry with a number out of range is refused, and the upstream of that name goes on", "[integration][nodes]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    struct odd_number {
+        std::string field;
+        std::string value;
+    };
+    const std::vector<odd_number> numbers {
+        {"seq", "9223372036854775807"},
+        {"seq", "18446744073709551616"},
+        {"seq", "1e18"},
+        {"seq", "1e400"},
+        {"seq", "-1"},
+        {"born", "9223372036854775807"},
+        {"born", "1e18"},
+        {"born", "18446744073709551616"},
+        {"born", "1e400"},
+        {"born", "-1"},
+        {"slots", "4e9"},
+        {"slots", "1e18"},
+        {"slots", "-1"},
+        {"slots", "1e400"},
+        {"slots", "65537"},
+        {"warmup_left_ms", "4e9"},
+        {"warmup_left_ms", "86400000"},
+        {"warmup_left_ms", "-1"},
+        {"warmup_left_ms", "1e400"},
+    };
+    for (const auto &odd : numbers) {
+        std::map<std::string, std::string> fields {{"seq", "1000000"}, {"born", "1790000000000"}, {"slots", "6"}, {"warmup_left_ms", "0"}};
+        fields[odd.field] = odd.value;
+        std::string body = R"({"service":"s","address":"10.255.255.1:9","zone":"north-a","state":"ready")";
+        for (const auto &[field, value] : fields) {
+            body.append(",\"").append(field).append("\":").append(value);
+        }
+        CAPTURE(odd.field, odd.value);
+        CHECK(callHttp(fixture.fleet.control(0), "POST", "/-/Instances.Heartbeat/n", body + "}").status == 400);
+        if (odd.field == "born") {
+            CHECK(callHttp(fixture.fleet.control(0), "POST", "/-/Instances.Deregister/n", R"({"born":)" + odd.value + "}").status == 400);
+        }
+    }
+    const auto before = fixture.north.requests();
+    CHECK(awaitCondition([&] {
+        fixture.serves(0);
+        return fixture.north.requests() >= before + 5;
+    }));
+}
+
 TEST_CASE("nodes: a new version is in force on every entry host within its bound", "[integration][nodes]")
 {
     node_fixture fixture;
