platform: tests of bodies that are nested deeply or name a field twice

Another writer may nest a body to any depth. The parser stops at its limit and gives an error for 100 and 100,000 levels, in a field and around the whole; ten levels in a field that nobody reads are fine.

--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -124,6 +124,33 @@
     }
 }
 
+TEST_CASE("platform: values that are nested deeply are refused, and no depth ends the process", "[platform]")
+{
+    const auto nested = [](std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); };
+    const auto heartbeatOf = [](const std::string &version) {
+        return R"({"service":"s","address":"10.1.0.9:80","zone":"z","slots":6,"state":"ready","seq":4,"version":)" + version + "}";
+    };
+    REQUIRE(parseAnnouncement("i-1", heartbeatOf(nested(10)), false));
+    for (const std::size_t depth : {100U, 100'000U}) {
+        CAPTURE(depth);
+        REQUIRE(parseAnnouncement("i-1", heartbeatOf(nested(depth)), false).error() == errc::malformedAnnouncement);
+        REQUIRE(parseAnnouncement("i-1", nested(depth), false).error() == errc::malformedAnnouncement);
+        REQUIRE(parseAnnouncement("i-1", nested(depth), true).error() == errc::malformedAnnouncement);
+        REQUIRE(parseAnnouncement("i-1", R"({"born":)" + nested(depth) + "}", true).error() == errc::malformedAnnouncement);
+        REQUIRE(parseRouting(nested(depth)).error() == errc::routingInvalid);
+        REQUIRE(parseRouting(configurationOf(R"(["r1",)" + nested(depth) + "]")).error() == errc::routingInvalid);
+    }
+}
+
+TEST_CASE("platform: of a field that comes twice the last one counts", "[platform]")
+{
+    const auto report = parseAnnouncement(
+        "i-1", R"({"service":"s","address":"10.1.0.9:80","zone":"z","slots":6,"state":"ready","seq":4,"seq":5,"slots":"x","slots":7})", false);
+    REQUIRE(report);
+    REQUIRE(report.value().reportedAt == 5);
+    REQUIRE(report.value().slots == 7);
+}
+
 TEST_CASE("platform: header fields are read once, and written for the upstream", "[platform]")
 {
     const platform_header_codec headerCodec;
