nodes: refuse names in calls that are not plain text

Callers saw: after one heartbeat whose path held a name with bytes that are not UTF-8, a control host could not read its file of announcements at its next start and had forgotten all upstreams. After a loss of power no entry host served until the upstreams announced themselves again. The watch reply with that record ended at it: the entry hosts lost the routes and the numbers of hosts that follow in the message. An evacuation of such a failure domain was a log entry that no follower could parse: it got 503, and the leader lost its lead.

Cause: the name comes from the path of the call, and protobuf refuses a string that is not UTF-8 when it parses, not when it serialises. Class of fault: a text from outside goes unchecked into a format that is stricter than its source.

A name of an upstream or of an evacuated failure domain is now 1 to 256 visible ASCII characters, which header fields and log lines can carry as well; services and failure domains of announcements are at most 256 bytes. Names come out of paths undecoded, so "%ff" is plain text.

--- a/include/core/text.h
+++ b/include/core/text.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -13,6 +14,15 @@
 /// Compares two texts ignoring the case of ASCII letters.
 bool equalIgnoringCase(std::string_view a, std::string_view b);
 
+/// Maximum length of the names of hosts, upstreams and services, in bytes.
+constexpr std::size_t maxNameLength = 256;
+
+/// Returns true for 1 to `maxNameLength` visible ASCII characters. Such a name can be part of any message, header field and log line.
+bool isPlainName(std::string_view name);
+
+/// Returns `name` for log lines, or a replacement when it is not a plain name.
+std::string printableName(std::string_view name);
+
 /// An IP address and port.
 struct endpoint_address {
     std::string ip;
--- a/include/daemon/control_api.h
+++ b/include/daemon/control_api.h
@@ -33,7 +33,7 @@
     /// Brings a version of the routes into force; a version that is not higher than the current one changes nothing.
     /// Errors: routingInvalid, notLeader (definitely not accepted), noQuorum (not confirmed).
     virtual boost::asio::awaitable<status> submitRouting(routing_table table) = 0;
-    /// Carries out an evacuation order. Errors: notLeader, noQuorum.
+    /// Carries out an evacuation order. Errors: malformedRequest, notLeader, noQuorum.
     virtual boost::asio::awaitable<status> evacuate(evacuation_order order) = 0;
     /// Returns the newest routes, confirmed by a majority. Errors: notLeader, noQuorum, notReady when there are none yet.
     virtual boost::asio::awaitable<result<routing_table>> readRouting() = 0;
--- a/src/core/text.cpp
+++ b/src/core/text.cpp
@@ -7,6 +7,14 @@
 namespace hornbeampick
 {
 
+namespace
+{
+
+constexpr char firstVisibleCharacter = 0x21;
+constexpr char lastVisibleCharacter = 0x7e;
+
+} // namespace
+
 std::string toLower(std::string_view text)
 {
     std::string out(text);
@@ -19,6 +27,17 @@
     return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
+bool isPlainName(std::string_view name)
+{
+    const auto isVisible = [](char c) { return c >= firstVisibleCharacter && c <= lastVisibleCharacter; };
+    return !name.empty() && name.size() <= maxNameLength && std::ranges::all_of(name, isVisible);
+}
+
+std::string printableName(std::string_view name)
+{
+    return isPlainName(name) ? std::string(name) : "(not a name)";
+}
+
 endpoint_address parseEndpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/src/fleet/upstream_report.cpp
+++ b/src/fleet/upstream_report.cpp
@@ -1,5 +1,7 @@
 #include "fleet/upstream_report.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -29,11 +31,17 @@
     return hasPlausibleTimes && hasPlausibleWarmup && report.reportedAt >= 0 && report.reportedAt <= maxSequence && report.slots <= maxSlots;
 }
 
+bool hasNames(const upstream_report &report)
+{
+    return isPlainName(report.instance.view()) && report.service.view().size() <= maxNameLength && report.domain.view().size() <= maxNameLength;
+}
+
 } // namespace
 
 status checkReport(const upstream_report &report, wall_ms now)
 {
-    return hasPlausibleNumbers(report, now) ? status(success()) : status(make_error_code(errc::malformedAnnouncement));
+    const bool isUsable = hasNames(report) && hasPlausibleNumbers(report, now);
+    return isUsable ? status(success()) : status(make_error_code(errc::malformedAnnouncement));
 }
 
 bool supersedes(const upstream_report &incoming, const upstream_report &known)
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -175,6 +175,10 @@
 
     asio::awaitable<status> evacuate(evacuation_order order) override
     {
+        // Messages of the log that hold a name in another encoding than UTF-8 cannot be parsed.
+        if (!isPlainName(order.domain.view())) {
+            co_return make_error_code(errc::malformedRequest);
+        }
         entry_body body = std::move(order);
         co_return co_await submit(std::move(body), "evacuation", 0);
     }
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -66,6 +66,28 @@
     REQUIRE_FALSE(isUsable(good, &upstream_report::leftAt, wall_ms {-1}));
 }
 
+TEST_CASE("announcements: a report whose upstream has no plain name is not one to use", "[announcements]")
+{
+    constexpr wall_ms now = 1'790'000'000'000;
+    for (const std::string name : {"i-1", "i%ff", "~"}) {
+        CAPTURE(name);
+        REQUIRE(checkReport(reportOf(name, 1, 1), now));
+    }
+    for (const std::string name : {"", " ", "a b", "a\r\nb", "a\x7f", "\xff\xfe", "\xc3\xbc"}) {
+        CAPTURE(name);
+        REQUIRE_FALSE(checkReport(reportOf(name, 1, 1), now));
+    }
+    REQUIRE(checkReport(reportOf(std::string(256, 'i'), 1, 1), now));
+    REQUIRE_FALSE(checkReport(reportOf(std::string(257, 'i'), 1, 1), now));
+    REQUIRE_FALSE(checkReport(reportOf(std::string(10'000, 'i'), 1, 1), now));
+    auto report = reportOf("a", 1, 1);
+    report.service = service_name(std::string(257, 's'));
+    REQUIRE_FALSE(checkReport(report, now));
+    report = reportOf("a", 1, 1);
+    report.domain = domain_name(std::string(257, 'd'));
+    REQUIRE_FALSE(checkReport(report, now));
+}
+
 TEST_CASE("announcements: only what changes is numbered; an outdated report changes nothing", "[announcements]")
 {
     manual_clock clock;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -274,6 +274,37 @@
     }));
 }
 
+// A name that is not UTF-8 made each message, file and entry of the log that contained it unreadable: after a restart a control host had
+// forgotten all announcements.
+TEST_CASE("nodes: names in calls that are not plain text are refused, and the others hold", "[integration][nodes]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    const auto post = [&](const std::string &target, const std::string &body) { return callHttp(fixture.fleet.control(0), "POST", target, body).status; };
+    const std::string heartbeat
+        = R"({"service":"t","address":"10.0.0.1:80","zone":"north-a","slots":6,"state":"ready","warmup_left_ms":0,"seq":1,"born":1790000000000})";
+    const auto name = GENERATE(as<std::string> {}, "\xff\xfe", std::string(300, 'i'));
+    CAPTURE(name);
+    CHECK(post("/-/Instances.Heartbeat/" + name, heartbeat) == 400);
+    CHECK(post("/-/Instances.Deregister/" + name, "") == 400);
+    CHECK(post("/-/Evacuate.Start/" + name, "") == 400);
+    CHECK(fixture.fleet.putRoutes(6, "-6"));
+    CHECK(awaitCondition([&] { return fixture.serves(0, "/again-6/") && fixture.serves(1, "/again-6/"); }));
+    // The acknowledgement of an upstream that leaves means that the announcements are saved.
+    fixture.upstreams.remove("n");
+    fixture.upstreams.remove("s");
+    REQUIRE(awaitCondition([&] { return fixture.fleet.leave(0, "s") == 200; }));
+    const std::vector<std::string> hosts {"control-0", "control-1", "control-2", "entry-0", "entry-1"};
+    for (const auto &host : hosts) {
+        fixture.fleet.signal(host, SIGKILL);
+    }
+    for (const auto &host : hosts) {
+        fixture.fleet.awaitExit(host);
+        fixture.fleet.start(host);
+    }
+    CHECK(awaitCondition([&] { return fixture.serves(0) && fixture.serves(1); }));
+}
+
 TEST_CASE("nodes: a new version is in force on every entry host within its bound", "[integration][nodes]")
 {
     node_fixture fixture;
