rules: refuse configurations with durations, rates or weights out of range

Cause: `warmup_s` was multiplied and converted to an integer without a check, which is undefined beyond the range of the integer; the sum of the weights was compared with 0 only. Class of fault: a conversion or a sum that leaves the range of its type.

--- a/src/rules/routing_table.cpp
+++ b/src/rules/routing_table.cpp
@@ -3,6 +3,7 @@
 #include "core/text.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace hornbeampick
@@ -23,7 +24,12 @@
         }
         total += weight;
     }
-    return total > 0;
+    return total > 0 && std::isfinite(total);
+}
+
+bool serviceIsValid(const routed_service &candidate)
+{
+    return candidate.warmup >= milliseconds(0) && candidate.warmupPerSecond >= 0 && std::isfinite(candidate.warmupPerSecond);
 }
 
 } // namespace
@@ -40,7 +46,8 @@
     for (const auto &service : table.services) {
         known.insert(service.name);
     }
-    const bool valid = table.version > 0 && std::ranges::all_of(table.routes, [&](const route &each) { return routeIsValid(each, known); });
+    const bool valid = table.version > 0 && std::ranges::all_of(table.services, serviceIsValid)
+        && std::ranges::all_of(table.routes, [&](const route &each) { return routeIsValid(each, known); });
     return valid ? status(success()) : status(make_error_code(errc::routingInvalid));
 }
 
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -151,6 +151,45 @@
     REQUIRE(report.value().slots == 7);
 }
 
+// A duration in a configuration was converted to an integer without a check, and the sum of the weights could be infinite.
+TEST_CASE("platform: numbers of a configuration that are out of range are refused", "[platform]")
+{
+    const auto bad = GENERATE(as<std::string> {}, "1e400", "1e300", "18446744073709551616", "9223372036854775807", "1e18", "-1");
+    CAPTURE(bad);
+    const auto isRefused = [](const std::string &body) {
+        const auto table = parseRouting(body);
+        return !table || !checkRouting(table.value());
+    };
+    const auto with = [](std::string body, std::string_view from, const std::string &to) { return body.replace(body.find(from), from.size(), to); };
+    const auto plain = configurationOf(plainRow);
+    REQUIRE_FALSE(isRefused(plain));
+    CHECK(isRefused(with(plain, "false,3.0,10.0", "false," + bad + ",10.0")));
+    CHECK(isRefused(with(plain, "1500,400,1", bad + ",400,1")));
+    CHECK(isRefused(with(plain, "1500,400,1", "1500," + bad + ",1")));
+    CHECK(isRefused(with(plain, "1500,400,1", "1500,400," + bad)));
+    CHECK(isRefused(with(plain, "\"/healthz\",360", "\"/healthz\"," + bad)));
+    CHECK(isRefused(with(plain, "16384", bad)));
+    CHECK(isRefused(with(plain, "15000", bad)));
+    CHECK(isRefused(configurationOf(plainRow, bad)));
+    CHECK(isRefused(configurationOf(plainRow, "\"r" + bad + "\"")) == (bad != "9223372036854775807"));
+}
+
+TEST_CASE("platform: rates and weights of a configuration are finite and not negative", "[platform]")
+{
+    const auto isRefused = [](const std::string &body) {
+        const auto table = parseRouting(body);
+        return !table || !checkRouting(table.value());
+    };
+    const auto with = [](std::string body, std::string_view from, const std::string &to) { return body.replace(body.find(from), from.size(), to); };
+    const auto weighted = configurationOf(weightedRow);
+    REQUIRE_FALSE(isRefused(weighted));
+    CHECK(isRefused(with(with(weighted, ":90}", ":1.7e308}"), ":10}", ":1.7e308}")));
+    CHECK(isRefused(with(weighted, ":90}", ":1e400}")));
+    CHECK(isRefused(with(weighted, ":90}", ":-1}")));
+    CHECK(isRefused(with(weighted, "3.0,10.0", "3.0,-1")));
+    CHECK(isRefused(with(weighted, "3.0,10.0", "3.0,1e400")));
+}
+
 TEST_CASE("platform: header fields are read once, and written for the upstream", "[platform]")
 {
     const platform_header_codec headerCodec;
