nodes: refuse announcements without an address to connect to

Callers saw: an entry with a name in place of the IP, a port out of range or text after the port was accepted and told to all entry hosts as an upstream. A name became 0.0.0.0, to which a connection reaches the entry host itself, and "10.0.0.1:80x" became port 80.

Cause: `parseEndpoint` ignores what follows the number, and nothing looked at its result before it was used for a connection. Class of fault: input is checked where it is used and not where it is taken.

`checkReport` now wants an IPv4 address other than 0.0.0.0 and a port from 1 to 65535, unless the report only deregisters; `parseEndpoint` gives port 0 when anything follows the number. The control host answers 400 and changes nothing. IPv6 stays unsupported: "[::1]:80" could not be connected to before either.

--- a/include/core/text.h
+++ b/include/core/text.h
@@ -29,7 +29,7 @@
     std::uint16_t port = 0;
 };
 
-/// Splits "ip:port". The port is 0 when `text` has none or it is not a number.
+/// Splits "ip:port". The port is 0 when `text` has none or it is not a number from 0 to 65535.
 endpoint_address parseEndpoint(std::string_view text);
 
 } // namespace hornbeampick
--- a/include/fleet/upstream_report.h
+++ b/include/fleet/upstream_report.h
@@ -43,8 +43,8 @@
     bool operator==(const upstream_report &) const = default;
 };
 
-/// Checks whether a report can be used: its upstream has a plain name, and its numbers are plausible at the wall-clock time `now`, so that
-/// a later report of the same upstream still replaces it. Errors: malformedAnnouncement.
+/// Checks whether a report can be used: plain names, an address unless it only deregisters, and numbers that are plausible at the wall-clock
+/// time `now`, so that a later report of the same upstream still replaces it. Errors: malformedAnnouncement.
 status checkReport(const upstream_report &report, wall_ms now);
 
 /// Returns true when `incoming` replaces `known`: a later incarnation, a later report, or a worse state at equal times. Within
--- a/src/core/text.cpp
+++ b/src/core/text.cpp
@@ -43,8 +43,12 @@
     const auto colon = text.rfind(':');
     endpoint_address parsed {.ip = std::string(text.substr(0, colon)), .port = 0};
     if (colon != std::string_view::npos) {
-        // The port stays 0 when it is not a number; nothing can listen on port 0.
-        std::from_chars(text.data() + colon + 1, text.data() + text.size(), parsed.port);
+        // Nothing can listen on port 0, which stands for a port that is not a number.
+        const auto *end = text.data() + text.size();
+        const auto [parsedEnd, error] = std::from_chars(text.data() + colon + 1, end, parsed.port);
+        if (error != std::errc {} || parsedEnd != end) {
+            parsed.port = 0;
+        }
     }
     return parsed;
 }
--- a/src/fleet/upstream_report.cpp
+++ b/src/fleet/upstream_report.cpp
@@ -1,6 +1,7 @@
 #include "fleet/upstream_report.h"
 
 #include "core/text.h"
+#include "rules/block_table.h"
 
 #include <algorithm>
 #include <tuple>
@@ -36,11 +37,19 @@
     return isPlainName(report.instance.view()) && report.service.view().size() <= maxNameLength && report.domain.view().size() <= maxNameLength;
 }
 
+bool hasAddress(const upstream_report &report)
+{
+    const auto endpoint = parseEndpoint(report.address);
+    // Connections to the unspecified address 0.0.0.0 reach the local host.
+    return endpoint.port != 0 && parseIpv4(endpoint.ip).value_or(0) != 0;
+}
+
 } // namespace
 
 status checkReport(const upstream_report &report, wall_ms now)
 {
-    const bool isUsable = hasNames(report) && hasPlausibleNumbers(report, now);
+    const bool onlyDeregisters = report.state == upstream_state::gone && report.address.empty();
+    const bool isUsable = hasNames(report) && (onlyDeregisters || hasAddress(report)) && hasPlausibleNumbers(report, now);
     return isUsable ? status(success()) : status(make_error_code(errc::malformedAnnouncement));
 }
 
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -88,6 +88,27 @@
     REQUIRE_FALSE(checkReport(report, now));
 }
 
+TEST_CASE("announcements: a report without an address to connect to is not one to use, unless it only deregisters", "[announcements]")
+{
+    constexpr wall_ms now = 1'790'000'000'000;
+    auto report = reportOf("a", 1, 1);
+    for (const auto *address : {"10.0.0.1:1", "10.0.0.1:65535", "127.0.0.1:80"}) {
+        CAPTURE(address);
+        report.address = address;
+        REQUIRE(checkReport(report, now));
+    }
+    for (const auto *address :
+         {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:80x", "10.0.0.1:-1", "10.0.0.1:", "10.0.0.1", "a.example:80", "[::1]:80", "0.0.0.0:80"}) {
+        CAPTURE(address);
+        report.address = address;
+        REQUIRE_FALSE(checkReport(report, now));
+    }
+    report.address.clear();
+    REQUIRE_FALSE(checkReport(report, now));
+    report.state = upstream_state::gone;
+    REQUIRE(checkReport(report, now));
+}
+
 TEST_CASE("announcements: only what changes is numbered; an outdated report changes nothing", "[announcements]")
 {
     manual_clock clock;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -305,6 +305,22 @@
     CHECK(awaitCondition([&] { return fixture.serves(0) && fixture.serves(1); }));
 }
 
+// An address that is not "ip:port" was accepted. A name in place of the IP became 0.0.0.0, which is the entry host itself.
+TEST_CASE("nodes: an entry without an address to connect to is refused, and the others hold", "[integration][nodes]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    for (const std::string address :
+         {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1:x", "10.0.0.1:", "10.0.0.1", "10.0.0.1:80x", "10.0.0.1:+80",
+          "10.0.0.1 :80", "a.example:80", "[::1]:80", "::1:80", "0.0.0.0:80", "10.0.0:80", "10.0.0.1.1:80", "10.0.0.256:80", ":80", ""}) {
+        CAPTURE(address);
+        CHECK(fixture.fleet.report(0, "odd", address, "ready", 1, "north-a") == 400);
+    }
+    for (int i = 0; i < 40; ++i) {
+        CHECK(fixture.serves(i % 2));
+    }
+}
+
 TEST_CASE("nodes: a new version is in force on every entry host within its bound", "[integration][nodes]")
 {
     node_fixture fixture;
