nodes: leave out single records that cannot be used

Callers saw: with one record in the file of announcements whose text is not UTF-8, saved by an earlier release, a control host forgot all upstreams at its start. A watch reply with such a record ended there for the entry host, which took the position of the whole reply: upstreams behind that record and the routes were missing, and the numbers of entry hosts were 0.

Cause: the texts of a record are protobuf strings; parsing ends at the first one that is not UTF-8, and gRPC then still gives the half-read message with an OK status. Class of fault: one bad element costs the whole message.

`usableReports` applies `checkReport` to what comes from the file or from a control host, leaves out what it refuses, also states that are not named, and logs `announcement-left-out`.

--- a/src/fleet/upstream_report.cpp
+++ b/src/fleet/upstream_report.cpp
@@ -37,6 +37,12 @@
     return isPlainName(report.instance.view()) && report.service.view().size() <= maxNameLength && report.domain.view().size() <= maxNameLength;
 }
 
+// A message may hold any value of an enumeration.
+bool hasKnownState(const upstream_report &report)
+{
+    return report.state >= upstream_state::warming && report.state <= upstream_state::gone;
+}
+
 bool hasAddress(const upstream_report &report)
 {
     const auto endpoint = parseEndpoint(report.address);
@@ -49,7 +55,7 @@
 status checkReport(const upstream_report &report, wall_ms now)
 {
     const bool onlyDeregisters = report.state == upstream_state::gone && report.address.empty();
-    const bool isUsable = hasNames(report) && (onlyDeregisters || hasAddress(report)) && hasPlausibleNumbers(report, now);
+    const bool isUsable = hasNames(report) && hasKnownState(report) && (onlyDeregisters || hasAddress(report)) && hasPlausibleNumbers(report, now);
     return isUsable ? status(success()) : status(make_error_code(errc::malformedAnnouncement));
 }
 
--- a/src/node/announcement_persister.cpp
+++ b/src/node/announcement_persister.cpp
@@ -1,5 +1,6 @@
 #include "node/announcement_persister.h"
 
+#include "node_common.h"
 #include "observe/log.h"
 
 namespace hornbeampick
@@ -41,9 +42,10 @@
 {
     const auto loaded = m_store.load();
     if (loaded) {
-        m_log.restore(loaded.value(), m_clock.now());
+        const auto usable = usableReports(loaded.value(), "file", m_clock.wallNow());
+        m_log.restore(usable, m_clock.now());
         m_saved = m_log.position();
-        logEvent(log_level::info, "announcements-restored", {{"upstreams", static_cast<std::int64_t>(loaded.value().size())}});
+        logEvent(log_level::info, "announcements-restored", {{"upstreams", static_cast<std::int64_t>(usable.size())}});
     } else {
         logEvent(log_level::error, "announcements-unreadable", {errorField(loaded.error())});
     }
--- a/src/node/control_watch.cpp
+++ b/src/node/control_watch.cpp
@@ -1,6 +1,7 @@
 #include "control_watch.h"
 
 #include "daemon/await_callback.h"
+#include "node_common.h"
 #include "observe/log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -120,7 +121,7 @@
         applyState(*answer.state);
     }
     if (!stale) {
-        m_directory.onReports(address, answer.source, answer.upstreams, now);
+        m_directory.onReports(address, answer.source, usableReports(answer.upstreams, address, m_parts.clock.wallNow()), now);
         host.incarnation = answer.source;
         host.position = answer.position;
     }
--- a/src/node/node_common.cpp
+++ b/src/node/node_common.cpp
@@ -1,6 +1,7 @@
 #include "node_common.h"
 
 #include "core/text.h"
+#include "observe/log.h"
 
 namespace hornbeampick
 {
@@ -15,6 +16,21 @@
     return {.certificate = {}, .key = {}, .authority = {}, .plainText = true};
 }
 
+std::vector<upstream_report> usableReports(std::span<const upstream_report> reports, std::string_view source, wall_ms now)
+{
+    std::vector<upstream_report> usable;
+    usable.reserve(reports.size());
+    for (const auto &report : reports) {
+        if (const auto checked = checkReport(report, now); checked) {
+            usable.push_back(report);
+        } else {
+            logRateLimited(log_level::warning, "announcement-left-out",
+                           {{"source", std::string(source)}, {"instance", printableName(report.instance.view())}, errorField(checked.error())});
+        }
+    }
+    return usable;
+}
+
 metrics_handler::metrics_handler(metrics &counters, std::function<void()> refresh)
     : m_counters(counters)
     , m_refresh(std::move(refresh))
--- a/src/node/node_common.h
+++ b/src/node/node_common.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/error.h"
+#include "fleet/upstream_report.h"
 #include "http/http_server.h"
 #include "observe/metrics.h"
 #include "rpc/peer_client.h"
@@ -10,8 +11,10 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hornbeampick
 {
@@ -22,6 +25,9 @@
 /// Returns the TLS configuration for unencrypted connections, which the hosts of a node deployment use among themselves.
 tls_files plainTextTls();
 
+/// Returns the reports that can be used at the wall-clock time `now`, and logs the others. `source` names their origin in log lines.
+std::vector<upstream_report> usableReports(std::span<const upstream_report> reports, std::string_view source, wall_ms now);
+
 /// Serves the metrics in the Prometheus text format at any path.
 class metrics_handler final : public http_handler
 {
--- a/tests/node/announcement_persister_test.cpp
+++ b/tests/node/announcement_persister_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <limits>
 
 using namespace hornbeampick;
 
@@ -37,7 +38,7 @@
 
 upstream_report reportOf(std::string_view instance)
 {
-    return {.service = service_name("s"), .instance = instance_name(instance), .address = std::string(instance) + ":80", .incarnation = 1, .reportedAt = 1};
+    return {.service = service_name("s"), .instance = instance_name(instance), .address = "10.0.0.1:80", .incarnation = 1, .reportedAt = 1};
 }
 
 struct persister_fixture {
@@ -90,3 +91,19 @@
     fixture.persister.start();
     REQUIRE(fixture.log.changedAfter(0, fixture.clock.now()).size() == 1);
 }
+
+// Records that an earlier release had saved came back as they were.
+TEST_CASE("announcement keeper: a saved record that cannot be used is left out, and the others are restored", "[announcements]")
+{
+    persister_fixture fixture;
+    auto huge = reportOf("huge");
+    huge.incarnation = std::numeric_limits<std::uint64_t>::max();
+    auto unknownState = reportOf("state");
+    unknownState.state = static_cast<upstream_state>(77);
+    fixture.store.saved = {reportOf("a"), reportOf("\xff\xfe"), huge, unknownState, reportOf("b")};
+    fixture.persister.start();
+    const auto restored = fixture.log.changedAfter(0, fixture.clock.now());
+    REQUIRE(restored.size() == 2);
+    REQUIRE(restored[0].instance == instance_name("a"));
+    REQUIRE(restored[1].instance == instance_name("b"));
+}
--- a/tests/storage/announcement_store_test.cpp
+++ b/tests/storage/announcement_store_test.cpp
@@ -57,6 +57,21 @@
     }
 }
 
+// The file could not be read as a whole when one text in it was not UTF-8.
+TEST_CASE("announcement store: a record with text that is not UTF-8 does not cost the others", "[announcements][storage]")
+{
+    memory_files files;
+    auto odd = reportOf("\xff\xfe");
+    odd.service = service_name("\xc3");
+    odd.address = "\x80";
+    odd.domain = domain_name("\xff");
+    const std::vector saved {reportOf("a"), odd, reportOf("b")};
+    REQUIRE(makeAnnouncementFileStore(files)->save(saved));
+    const auto loaded = makeAnnouncementFileStore(files)->load();
+    REQUIRE(loaded);
+    REQUIRE(loaded.value() == saved);
+}
+
 TEST_CASE("announcement store: damage is told, not read over", "[announcements][storage]")
 {
     memory_files files;
