fleet: only upstreams of known services take an address over

Callers saw: an entry that named no service of the configuration, at the address of a healthy upstream and with a later start, ended that upstream: control hosts and entry hosts took it for gone, for good, and its region's requests went elsewhere.

Cause: whoever started last at an address owned it, whatever else its entry said. Class of fault: an entry that names nothing to use has effects on others.

`takesOverAddress` is now the one rule for both sides: another upstream that started later at the same address, whose service is known to the routes in force or is that of the earlier one. An entry of an unknown service is accepted as before, since a later configuration may name the service, and takes its address over then, at its next heartbeat. An upstream whose address went to an upstream of an unknown service answers 421 and is not chosen again, as before.

Evidence, against the code before: "nodes: an entry of an unknown service does not take the address of an upstream in use" failed with `1 >= 6`: the healthy upstream had no request of 20. Now it passes, with "announcements: an entry of an unknown service does not end the upstream at its address" for the two lists.

--- a/include/fleet/announcement_log.h
+++ b/include/fleet/announcement_log.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -30,6 +31,8 @@
 public:
     explicit announcement_log(const announcement_log_options &options = {});
 
+    /// Sets the services that the routes in force know. Until then only upstreams of the same service take over an address.
+    void setServices(std::set<service_name> services);
     /// Applies a report. Returns the position that a watcher must have reached to know it; an outdated report changes nothing.
     std::uint64_t report(const upstream_report &incoming, steady_time now);
     /// Loads the records that an earlier process of this host had saved. Must be called before any report is applied.
@@ -69,6 +72,7 @@
     mutable std::mutex m_lock;
     // Guarded by m_lock.
     std::map<instance_name, record> m_records;
+    std::set<service_name> m_services;
     std::vector<death_record> m_deaths;
     std::uint64_t m_position = 0;
 };
--- a/include/fleet/upstream_directory.h
+++ b/include/fleet/upstream_directory.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -30,6 +31,9 @@
     /// Applies the reports of the control host `source`, whose process has the given `incarnation`.
     void onReports(const std::string &source, std::uint64_t incarnation, std::span<const upstream_report> reports, steady_time now);
 
+    /// Sets the services that the routes in force know. Until then only upstreams of the same service take over an address.
+    void setServices(std::set<service_name> services);
+
     /// Returns every upstream that any control host knows, including gone and silent ones.
     [[nodiscard]] std::vector<known_upstream> upstreams(steady_time now) const;
 
@@ -60,6 +64,7 @@
     [[nodiscard]] bool isReachable(const source_state &state, steady_time now) const;
 
     std::map<std::string, source_state> m_sources;
+    std::set<service_name> m_services;
     std::map<instance_name, deregistration> m_deregistrations;
     steady_time m_lastContactAt {};
 };
--- a/include/fleet/upstream_report.h
+++ b/include/fleet/upstream_report.h
@@ -5,6 +5,7 @@
 #include "core/names.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace hornbeampick
@@ -51,4 +52,8 @@
 /// an incarnation, `gone` is final, and a change to draining or gone applies even if its report is the older one.
 bool supersedes(const upstream_report &incoming, const upstream_report &known);
 
+/// Returns true when `later` ends `earlier`: another upstream that started later at the same address. One whose service is not in
+/// `knownServices` ends only upstreams of its own service, since it may be no upstream at all.
+bool takesOverAddress(const upstream_report &later, const upstream_report &earlier, const std::set<service_name> &knownServices);
+
 } // namespace hornbeampick
--- a/include/rules/routing_table.h
+++ b/include/rules/routing_table.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -81,6 +82,7 @@
 
     /// Returns null when there is no such service. The pointer is valid as long as the table is unchanged.
     [[nodiscard]] const routed_service *findService(const service_name &name) const;
+    [[nodiscard]] std::set<service_name> serviceNames() const;
 };
 
 /// Checks whether a table is valid and may come into force. Errors: routingInvalid.
--- a/src/fleet/announcement_log.cpp
+++ b/src/fleet/announcement_log.cpp
@@ -20,6 +20,12 @@
 {
 }
 
+void announcement_log::setServices(std::set<service_name> services)
+{
+    const std::lock_guard guard(m_lock);
+    m_services = std::move(services);
+}
+
 std::uint64_t announcement_log::report(const upstream_report &incoming, steady_time now)
 {
     const std::lock_guard guard(m_lock);
@@ -142,22 +148,17 @@
     return changed;
 }
 
-// Returns true when another instance with a later incarnation has taken over the address of the report.
+// Returns true when another upstream has taken over the address of the report.
 bool announcement_log::isAddressTakenOver(const upstream_report &incoming) const
 {
-    return !incoming.address.empty() && std::ranges::any_of(m_records, [&](const auto &item) {
-        const auto &known = item.second.report;
-        return known.address == incoming.address && known.instance != incoming.instance && known.incarnation > incoming.incarnation;
-    });
+    return std::ranges::any_of(m_records, [&](const auto &item) { return takesOverAddress(item.second.report, incoming, m_services); });
 }
 
-// Marks other instances with an earlier incarnation at the same address as gone.
+// Marks the upstreams whose address the report takes over as gone.
 void announcement_log::retireEarlierAtAddress(const upstream_report &incoming)
 {
     for (auto &[instance, known] : m_records) {
-        const bool isEarlier = !incoming.address.empty() && known.report.address == incoming.address && instance != incoming.instance
-            && known.report.incarnation < incoming.incarnation;
-        if (isEarlier && known.report.state != upstream_state::gone) {
+        if (known.report.state != upstream_state::gone && takesOverAddress(incoming, known.report, m_services)) {
             known.report.state = upstream_state::gone;
             known.position = ++m_position;
         }
--- a/src/fleet/upstream_directory.cpp
+++ b/src/fleet/upstream_directory.cpp
@@ -1,7 +1,7 @@
 #include "fleet/upstream_directory.h"
 
 #include <algorithm>
-#include <tuple>
+#include <string_view>
 
 namespace hornbeampick
 {
@@ -34,6 +34,11 @@
     }
 }
 
+void upstream_directory::setServices(std::set<service_name> services)
+{
+    m_services = std::move(services);
+}
+
 // A deregistration without an incarnation ends the one that is known when it is first received. Otherwise, an incarnation that
 // becomes known later could be told apart by wall clocks alone.
 void upstream_directory::recordDeregistration(const upstream_report &report)
@@ -102,11 +107,9 @@
             entry.warmupEnd = std::max(entry.warmupEnd, observed.warmupEnd);
         }
     }
-    // The latest incarnation at an address owns it.
-    std::map<std::string, std::uint64_t> addressOwners;
+    std::map<std::string_view, std::vector<const upstream_report *>> reportsAtAddress;
     for (const auto &[instance, entry] : all) {
-        auto &newest = addressOwners[entry.newest->report.address];
-        newest = std::max(newest, entry.newest->report.incarnation);
+        reportsAtAddress[entry.newest->report.address].push_back(&entry.newest->report);
     }
     std::vector<known_upstream> upstreams;
     upstreams.reserve(all.size());
@@ -115,7 +118,9 @@
         known.report.silent = entry.silent;
         const auto deregistered = m_deregistrations.find(instance);
         const bool ended = deregistered != m_deregistrations.end() && deregistered->second.covers(known.report.incarnation);
-        if (ended || known.report.incarnation < addressOwners[known.report.address]) {
+        const bool takenOver = std::ranges::any_of(reportsAtAddress[known.report.address],
+                                                   [&](const upstream_report *other) { return takesOverAddress(*other, known.report, m_services); });
+        if (ended || takenOver) {
             known.report.state = upstream_state::gone;
         }
         upstreams.push_back(std::move(known));
--- a/src/fleet/upstream_report.cpp
+++ b/src/fleet/upstream_report.cpp
@@ -71,4 +71,10 @@
     return leaves || rank(incoming) > rank(known);
 }
 
+bool takesOverAddress(const upstream_report &later, const upstream_report &earlier, const std::set<service_name> &knownServices)
+{
+    const bool sharesAddress = !later.address.empty() && later.address == earlier.address && later.instance != earlier.instance;
+    return sharesAddress && later.incarnation > earlier.incarnation && (later.service == earlier.service || knownServices.contains(later.service));
+}
+
 } // namespace hornbeampick
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -242,6 +242,7 @@
                      {{"index", static_cast<std::int64_t>(state.appliedIndex)},
                       {"routesVersion", static_cast<std::int64_t>(state.routing.version)},
                       {"evacuated", static_cast<std::int64_t>(state.evacuated.size())}});
+            m_announcements.setServices(state.routing.serviceNames());
             m_watchServer.setState(state);
         }
         m_state.set(std::make_shared<const ledger_state>(state));
--- a/src/node/control_watch.cpp
+++ b/src/node/control_watch.cpp
@@ -150,6 +150,7 @@
     const std::uint64_t version = current ? current->table().version : 0;
     if (state.routing.version > version) {
         auto table = std::make_shared<const routing_table>(state.routing);
+        m_directory.setServices(table->serviceNames());
         m_parts.dispatch.setServices(table->services);
         m_parts.routes.set(std::make_shared<const route_index>(table));
         logEvent(log_level::info, "routes-in-force",
--- a/src/rules/routing_table.cpp
+++ b/src/rules/routing_table.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace hornbeampick
 {
@@ -40,12 +39,18 @@
     return found == services.end() ? nullptr : &*found;
 }
 
-status checkRouting(const routing_table &table)
+std::set<service_name> routing_table::serviceNames() const
 {
-    std::set<service_name> known;
-    for (const auto &service : table.services) {
-        known.insert(service.name);
+    std::set<service_name> names;
+    for (const auto &service : services) {
+        names.insert(service.name);
     }
+    return names;
+}
+
+status checkRouting(const routing_table &table)
+{
+    const auto known = table.serviceNames();
     const bool valid = table.version > 0 && std::ranges::all_of(table.services, serviceIsValid)
         && std::ranges::all_of(table.routes, [&](const route &each) { return routeIsValid(each, known); });
     return valid ? status(success()) : status(make_error_code(errc::routingInvalid));
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -154,6 +154,41 @@
     REQUIRE(log.position() == position);
 }
 
+// An entry that names no known service retired the upstream at its address.
+TEST_CASE("announcements: an entry of an unknown service does not end the upstream at its address", "[announcements]")
+{
+    manual_clock clock;
+    announcement_log log;
+    upstream_directory directory;
+    auto odd = reportOf("odd", 20, 1);
+    odd.service = service_name("t");
+    const auto stateOfHealthy = [&] {
+        directory.onReports("c1", 1, log.changedAfter(0, clock.now()), clock.now());
+        const auto known = directory.upstreams(clock.now());
+        REQUIRE(known.size() == 2);
+        REQUIRE(known.front().report.instance == instance_name("healthy"));
+        return known.front().report.state;
+    };
+    log.report(reportOf("healthy", 10, 5), clock.now());
+    log.report(odd, clock.now());
+    REQUIRE(stateOfHealthy() == upstream_state::active);
+    log.setServices({service_name("s")});
+    directory.setServices({service_name("s")});
+    odd.reportedAt = 2;
+    log.report(odd, clock.now());
+    const auto position = log.position();
+    log.report(reportOf("healthy", 10, 6, upstream_state::draining), clock.now());
+    REQUIRE(log.position() > position);
+    REQUIRE(stateOfHealthy() == upstream_state::draining);
+    // Once a configuration names its service, it is a later upstream like any other.
+    directory.setServices({service_name("s"), service_name("t")});
+    REQUIRE(stateOfHealthy() == upstream_state::gone);
+    log.setServices({service_name("s"), service_name("t")});
+    odd.reportedAt = 3;
+    log.report(odd, clock.now());
+    REQUIRE(log.changedAfter(0, clock.now()).front().state == upstream_state::gone);
+}
+
 TEST_CASE("announcements: a new life under the same name starts its count anew", "[announcements]")
 {
     manual_clock clock;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -321,6 +321,26 @@
     }
 }
 
+// An entry that names no known service, at the address of a healthy upstream and with a later start, took the address over: the healthy
+// upstream counted as gone.
+TEST_CASE("nodes: an entry of an unknown service does not take the address of an upstream in use", "[integration][nodes]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    const std::string odd = R"({"service":"unknown","address":")" + fixture.north.address() + R"(","zone":"nowhere","slots":6,"state":"ready","seq":1,"born":)"
+        + std::to_string(node_fleet::firstIncarnation + 1000) + "}";
+    for (std::size_t host = 0; host < node_fixture::controlHosts; ++host) {
+        // Acceptable nevertheless: a later configuration may name the service.
+        CHECK(callHttp(fixture.fleet.control(host), "POST", "/-/Instances.Heartbeat/odd", odd).status == 200);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    const auto before = fixture.north.requests();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(fixture.serves(0));
+    }
+    CHECK(fixture.north.requests() >= before + 5);
+}
+
 TEST_CASE("nodes: a new version is in force on every entry host within its bound", "[integration][nodes]")
 {
     node_fixture fixture;
