--- a/include/fleet/upstream_report.h
+++ b/include/fleet/upstream_report.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/error.h"
 #include "core/names.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace hornbeampick
@@ -42,8 +44,16 @@
     bool operator==(const upstream_report &) const = default;
 };
 
+/// Checks whether a report can be used: plain names, an address unless it only deregisters, and numbers that are plausible at the wall-clock
+/// time `now`, so that a later report of the same upstream still replaces it. Errors: malformedAnnouncement.
+status checkReport(const upstream_report &report, wall_ms now);
+
 /// Returns true when `incoming` replaces `known`: a later incarnation, a later report, or a worse state at equal times. Within
 /// an incarnation, `gone` is final, and a change to draining or gone applies even if its report is the older one.
 bool supersedes(const upstream_report &incoming, const upstream_report &known);
 
+/// Returns true when `later` ends `earlier`: another upstream that started later at the same address. One whose service is not in
+/// `knownServices` ends only upstreams of its own service, since it may be no upstream at all.
+bool takesOverAddress(const upstream_report &later, const upstream_report &earlier, const std::set<service_name> &knownServices);
+
 } // namespace hornbeampick
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -122,6 +122,9 @@
 
     asio::awaitable<status> announce(upstream_report report) override
     {
+        if (const auto checked = checkReport(report, m_clock.wallNow()); !checked) {
+            co_return checked.error();
+        }
         if (report.state == upstream_state::gone && report.incarnation == 0) {
             report.leftAt = m_clock.wallNow();
         }
@@ -175,6 +178,10 @@
 
     asio::awaitable<status> evacuate(evacuation_order order) override
     {
+        // Messages of the log that hold a name in another encoding than UTF-8 cannot be parsed.
+        if (!isPlainName(order.domain.view())) {
+            co_return make_error_code(errc::malformedRequest);
+        }
         entry_body body = std::move(order);
         co_return co_await submit(std::move(body), "evacuation", 0);
     }
@@ -238,6 +245,7 @@
                      {{"index", static_cast<std::int64_t>(state.appliedIndex)},
                       {"routesVersion", static_cast<std::int64_t>(state.routing.version)},
                       {"evacuated", static_cast<std::int64_t>(state.evacuated.size())}});
+            m_announcements.setServices(state.routing.serviceNames());
             m_watchServer.setState(state);
         }
         m_state.set(std::make_shared<const ledger_state>(state));
--- a/src/node/control_watch.cpp
+++ b/src/node/control_watch.cpp
@@ -1,6 +1,7 @@
 #include "control_watch.h"
 
 #include "daemon/await_callback.h"
+#include "node_common.h"
 #include "observe/log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -138,7 +139,7 @@
         applyState(*answer.state);
     }
     if (!stale) {
-        m_directory.onReports(address, answer.source, answer.upstreams, now);
+        m_directory.onReports(address, answer.source, usableReports(answer.upstreams, address, m_parts.clock.wallNow()), now);
         host.incarnation = answer.source;
         host.position = answer.position;
     }
@@ -171,6 +172,7 @@
     const std::uint64_t version = current ? current->table().version : 0;
     if (state.routing.version > version) {
         auto table = std::make_shared<const routing_table>(state.routing);
+        m_directory.setServices(table->serviceNames());
         m_parts.dispatch.setServices(table->services);
         m_parts.routes.set(std::make_shared<const route_index>(table));
         logEvent(log_level::info, "routes-in-force",
--- a/src/rules/routing_table.cpp
+++ b/src/rules/routing_table.cpp
@@ -3,7 +3,7 @@
 #include "core/text.h"
 
 #include <algorithm>
-#include <set>
+#include <cmath>
 
 namespace hornbeampick
 {
@@ -23,7 +23,12 @@
         }
         total += weight;
     }
-    return total > 0;
+    return total > 0 && std::isfinite(total);
+}
+
+bool serviceIsValid(const routed_service &candidate)
+{
+    return candidate.warmup >= milliseconds(0) && candidate.warmupPerSecond >= 0 && std::isfinite(candidate.warmupPerSecond);
 }
 
 } // namespace
@@ -34,13 +39,20 @@
     return found == services.end() ? nullptr : &*found;
 }
 
-status checkRouting(const routing_table &table)
+std::set<service_name> routing_table::serviceNames() const
 {
-    std::set<service_name> known;
-    for (const auto &service : table.services) {
-        known.insert(service.name);
+    std::set<service_name> names;
+    for (const auto &service : services) {
+        names.insert(service.name);
     }
-    const bool valid = table.version > 0 && std::ranges::all_of(table.routes, [&](const route &each) { return routeIsValid(each, known); });
+    return names;
+}
+
+status checkRouting(const routing_table &table)
+{
+    const auto known = table.serviceNames();
+    const bool valid = table.version > 0 && std::ranges::all_of(table.services, serviceIsValid)
+        && std::ranges::all_of(table.routes, [&](const route &each) { return routeIsValid(each, known); });
     return valid ? status(success()) : status(make_error_code(errc::routingInvalid));
 }
 
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -4,6 +4,7 @@
 #include "fleet/upstream_directory.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 using namespace hornbeampick;
 using namespace hornbeampick::testing;
@@ -38,6 +39,76 @@
 
 } // namespace
 
+// A report with a far larger number than its successors can have would count as the latest one for good.
+TEST_CASE("announcements: a report with an implausible number is not one to use", "[announcements]")
+{
+    constexpr wall_ms now = 1'790'000'000'000;
+    const auto isUsable = [&](upstream_report report, auto upstream_report::*field, auto value) {
+        report.*field = value;
+        return static_cast<bool>(checkReport(report, now));
+    };
+    const auto good = reportOf("a", now, 5);
+    const auto lead = static_cast<std::uint64_t>(std::chrono::milliseconds(std::chrono::hours(24)).count());
+    REQUIRE(checkReport(good, now));
+    REQUIRE(isUsable(good, &upstream_report::incarnation, std::uint64_t {0}));
+    REQUIRE(isUsable(good, &upstream_report::incarnation, now + lead));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::incarnation, now + lead + 1));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::incarnation, std::numeric_limits<std::uint64_t>::max()));
+    REQUIRE(isUsable(good, &upstream_report::reportedAt, wall_ms {1} << 53));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::reportedAt, (wall_ms {1} << 53) + 1));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::reportedAt, wall_ms {-1}));
+    REQUIRE(isUsable(good, &upstream_report::slots, 65536U));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::slots, 65537U));
+    REQUIRE(isUsable(good, &upstream_report::warmupLeft, milliseconds(600'000)));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::warmupLeft, milliseconds(600'001)));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::warmupLeft, milliseconds(-1)));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::leftAt, std::numeric_limits<wall_ms>::max()));
+    REQUIRE_FALSE(isUsable(good, &upstream_report::leftAt, wall_ms {-1}));
+}
+
+TEST_CASE("announcements: a report whose upstream has no plain name is not one to use", "[announcements]")
+{
+    constexpr wall_ms now = 1'790'000'000'000;
+    for (const std::string name : {"i-1", "i%ff", "~"}) {
+        CAPTURE(name);
+        REQUIRE(checkReport(reportOf(name, 1, 1), now));
+    }
+    for (const std::string name : {"", " ", "a b", "a\r\nb", "a\x7f", "\xff\xfe", "\xc3\xbc"}) {
+        CAPTURE(name);
+        REQUIRE_FALSE(checkReport(reportOf(name, 1, 1), now));
+    }
+    REQUIRE(checkReport(reportOf(std::string(256, 'i'), 1, 1), now));
+    REQUIRE_FALSE(checkReport(reportOf(std::string(257, 'i'), 1, 1), now));
+    REQUIRE_FALSE(checkReport(reportOf(std::string(10'000, 'i'), 1, 1), now));
+    auto report = reportOf("a", 1, 1);
+    report.service = service_name(std::string(257, 's'));
+    REQUIRE_FALSE(checkReport(report, now));
+    report = reportOf("a", 1, 1);
+    report.domain = domain_name(std::string(257, 'd'));
+    REQUIRE_FALSE(checkReport(report, now));
+}
+
+TEST_CASE("announcements: a report without an address to connect to is not one to use, unless it only deregisters", "[announcements]")
+{
+    constexpr wall_ms now = 1'790'000'000'000;
+    auto report = reportOf("a", 1, 1);
+    for (const auto *address : {"10.0.0.1:1", "10.0.0.1:65535", "127.0.0.1:80"}) {
+        CAPTURE(address);
+        report.address = address;
+        REQUIRE(checkReport(report, now));
+    }
+    for (const auto *address :
+         {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:80x", "10.0.0.1:-1", "10.0.0.1:", "10.0.0.1", "a.example:80", "[::1]:80", "0.0.0.0:80"}) {
+        CAPTURE(address);
+        report.address = address;
+        REQUIRE_FALSE(checkReport(report, now));
+    }
+    report.address.clear();
+    REQUIRE_FALSE(checkReport(report, now));
+    report.state = upstream_state::gone;
+    REQUIRE(checkReport(report, now));
+}
+
 TEST_CASE("announcements: only what changes is numbered; an outdated report changes nothing", "[announcements]")
 {
     manual_clock clock;
@@ -83,6 +154,41 @@
     REQUIRE(log.position() == position);
 }
 
+// An entry that names no known service retired the upstream at its address.
+TEST_CASE("announcements: an entry of an unknown service does not end the upstream at its address", "[announcements]")
+{
+    manual_clock clock;
+    announcement_log log;
+    upstream_directory directory;
+    auto odd = reportOf("odd", 20, 1);
+    odd.service = service_name("t");
+    const auto stateOfHealthy = [&] {
+        directory.onReports("c1", 1, log.changedAfter(0, clock.now()), clock.now());
+        const auto known = directory.upstreams(clock.now());
+        REQUIRE(known.size() == 2);
+        REQUIRE(known.front().report.instance == instance_name("healthy"));
+        return known.front().report.state;
+    };
+    log.report(reportOf("healthy", 10, 5), clock.now());
+    log.report(odd, clock.now());
+    REQUIRE(stateOfHealthy() == upstream_state::active);
+    log.setServices({service_name("s")});
+    directory.setServices({service_name("s")});
+    odd.reportedAt = 2;
+    log.report(odd, clock.now());
+    const auto position = log.position();
+    log.report(reportOf("healthy", 10, 6, upstream_state::draining), clock.now());
+    REQUIRE(log.position() > position);
+    REQUIRE(stateOfHealthy() == upstream_state::draining);
+    // Once a configuration names its service, it is a later upstream like any other.
+    directory.setServices({service_name("s"), service_name("t")});
+    REQUIRE(stateOfHealthy() == upstream_state::gone);
+    log.setServices({service_name("s"), service_name("t")});
+    odd.reportedAt = 3;
+    log.report(odd, clock.now());
+    REQUIRE(log.changedAfter(0, clock.now()).front().state == upstream_state::gone);
+}
+
 TEST_CASE("announcements: a new life under the same name starts its count anew", "[announcements]")
 {
     manual_clock clock;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -226,6 +226,123 @@
     REQUIRE(callHttp(fixture.fleet.control(0), "POST", "/-/Instances.Heartbeat/i", "{\"state\":7}").status == 400);
 }
 
+// An entry under the name of a healthy upstream, with a huge number, replaced its report, and its later heartbeats counted as outdated.
+TEST_CASE("nodes: an entry with a number out of range is refused, and the upstream of that name goes on", "[integration][nodes]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    struct odd_number {
+        std::string field;
+        std::string value;
+    };
+    const std::vector<odd_number> numbers {
+        {"seq", "9223372036854775807"},
+        {"seq", "18446744073709551616"},
+        {"seq", "1e18"},
+        {"seq", "1e400"},
+        {"seq", "-1"},
+        {"born", "9223372036854775807"},
+        {"born", "1e18"},
+        {"born", "18446744073709551616"},
+        {"born", "1e400"},
+        {"born", "-1"},
+        {"slots", "4e9"},
+        {"slots", "1e18"},
+        {"slots", "-1"},
+        {"slots", "1e400"},
+        {"slots", "65537"},
+        {"warmup_left_ms", "4e9"},
+        {"warmup_left_ms", "86400000"},
+        {"warmup_left_ms", "-1"},
+        {"warmup_left_ms", "1e400"},
+    };
+    for (const auto &odd : numbers) {
+        std::map<std::string, std::string> fields {{"seq", "1000000"}, {"born", "1790000000000"}, {"slots", "6"}, {"warmup_left_ms", "0"}};
+        fields[odd.field] = odd.value;
+        std::string body = R"({"service":"s","address":"10.255.255.1:9","zone":"north-a","state":"ready")";
+        for (const auto &[field, value] : fields) {
+            body.append(",\"").append(field).append("\":").append(value);
+        }
+        CAPTURE(odd.field, odd.value);
+        CHECK(callHttp(fixture.fleet.control(0), "POST", "/-/Instances.Heartbeat/n", body + "}").status == 400);
+        if (odd.field == "born") {
+            CHECK(callHttp(fixture.fleet.control(0), "POST", "/-/Instances.Deregister/n", R"({"born":)" + odd.value + "}").status == 400);
+        }
+    }
+    const auto before = fixture.north.requests();
+    CHECK(awaitCondition([&] {
+        fixture.serves(0);
+        return fixture.north.requests() >= before + 5;
+    }));
+}
+
+// A name that is not UTF-8 made each message, file and entry of the log that contained it unreadable: after a restart a control host had
+// forgotten all announcements.
+TEST_CASE("nodes: names in calls that are not plain text are refused, and the others hold", "[integration][nodes]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    const auto post = [&](const std::string &target, const std::string &body) { return callHttp(fixture.fleet.control(0), "POST", target, body).status; };
+    const std::string heartbeat
+        = R"({"service":"t","address":"10.0.0.1:80","zone":"north-a","slots":6,"state":"ready","warmup_left_ms":0,"seq":1,"born":1790000000000})";
+    const auto name = GENERATE(as<std::string> {}, "\xff\xfe", std::string(300, 'i'));
+    CAPTURE(name);
+    CHECK(post("/-/Instances.Heartbeat/" + name, heartbeat) == 400);
+    CHECK(post("/-/Instances.Deregister/" + name, "") == 400);
+    CHECK(post("/-/Evacuate.Start/" + name, "") == 400);
+    CHECK(fixture.fleet.putRoutes(6, "-6"));
+    CHECK(awaitCondition([&] { return fixture.serves(0, "/again-6/") && fixture.serves(1, "/again-6/"); }));
+    // The acknowledgement of an upstream that leaves means that the announcements are saved.
+    fixture.upstreams.remove("n");
+    fixture.upstreams.remove("s");
+    REQUIRE(awaitCondition([&] { return fixture.fleet.leave(0, "s") == 200; }));
+    const std::vector<std::string> hosts {"control-0", "control-1", "control-2", "entry-0", "entry-1"};
+    for (const auto &host : hosts) {
+        fixture.fleet.signal(host, SIGKILL);
+    }
+    for (const auto &host : hosts) {
+        fixture.fleet.awaitExit(host);
+        fixture.fleet.start(host);
+    }
+    CHECK(awaitCondition([&] { return fixture.serves(0) && fixture.serves(1); }));
+}
+
+// An address that is not "ip:port" was accepted. A name in place of the IP became 0.0.0.0, which is the entry host itself.
+TEST_CASE("nodes: an entry without an address to connect to is refused, and the others hold", "[integration][nodes]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    for (const std::string address :
+         {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1:x", "10.0.0.1:", "10.0.0.1", "10.0.0.1:80x", "10.0.0.1:+80",
+          "10.0.0.1 :80", "a.example:80", "[::1]:80", "::1:80", "0.0.0.0:80", "10.0.0:80", "10.0.0.1.1:80", "10.0.0.256:80", ":80", ""}) {
+        CAPTURE(address);
+        CHECK(fixture.fleet.report(0, "odd", address, "ready", 1, "north-a") == 400);
+    }
+    for (int i = 0; i < 40; ++i) {
+        CHECK(fixture.serves(i % 2));
+    }
+}
+
+// An entry that names no known service, at the address of a healthy upstream and with a later start, took the address over: the healthy
+// upstream counted as gone.
+TEST_CASE("nodes: an entry of an unknown service does not take the address of an upstream in use", "[integration][nodes]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    const std::string odd = R"({"service":"unknown","address":")" + fixture.north.address() + R"(","zone":"nowhere","slots":6,"state":"ready","seq":1,"born":)"
+        + std::to_string(node_fleet::firstIncarnation + 1000) + "}";
+    for (std::size_t host = 0; host < node_fixture::controlHosts; ++host) {
+        // Acceptable nevertheless: a later configuration may name the service.
+        CHECK(callHttp(fixture.fleet.control(host), "POST", "/-/Instances.Heartbeat/odd", odd).status == 200);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    const auto before = fixture.north.requests();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(fixture.serves(0));
+    }
+    CHECK(fixture.north.requests() >= before + 5);
+}
+
 TEST_CASE("nodes: a new version is in force on every entry host within its bound", "[integration][nodes]")
 {
     node_fixture fixture;
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -126,6 +126,72 @@
     }
 }
 
+TEST_CASE("platform: values that are nested deeply are refused, and no depth ends the process", "[platform]")
+{
+    const auto nested = [](std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); };
+    const auto heartbeatOf = [](const std::string &version) {
+        return R"({"service":"s","address":"10.1.0.9:80","zone":"z","slots":6,"state":"ready","seq":4,"version":)" + version + "}";
+    };
+    REQUIRE(parseAnnouncement("i-1", heartbeatOf(nested(10)), false));
+    for (const std::size_t depth : {100U, 100'000U}) {
+        CAPTURE(depth);
+        REQUIRE(parseAnnouncement("i-1", heartbeatOf(nested(depth)), false).error() == errc::malformedAnnouncement);
+        REQUIRE(parseAnnouncement("i-1", nested(depth), false).error() == errc::malformedAnnouncement);
+        REQUIRE(parseAnnouncement("i-1", nested(depth), true).error() == errc::malformedAnnouncement);
+        REQUIRE(parseAnnouncement("i-1", R"({"born":)" + nested(depth) + "}", true).error() == errc::malformedAnnouncement);
+        REQUIRE(parseRouting(nested(depth)).error() == errc::routingInvalid);
+        REQUIRE(parseRouting(configurationOf(R"(["r1",)" + nested(depth) + "]")).error() == errc::routingInvalid);
+    }
+}
+
+TEST_CASE("platform: of a field that comes twice the last one counts", "[platform]")
+{
+    const auto report = parseAnnouncement(
+        "i-1", R"({"service":"s","address":"10.1.0.9:80","zone":"z","slots":6,"state":"ready","seq":4,"seq":5,"slots":"x","slots":7})", false);
+    REQUIRE(report);
+    REQUIRE(report.value().reportedAt == 5);
+    REQUIRE(report.value().slots == 7);
+}
+
+// A duration in a configuration was converted to an integer without a check, and the sum of the weights could be infinite.
+TEST_CASE("platform: numbers of a configuration that are out of range are refused", "[platform]")
+{
+    const auto bad = GENERATE(as<std::string> {}, "1e400", "1e300", "18446744073709551616", "9223372036854775807", "1e18", "-1");
+    CAPTURE(bad);
+    const auto isRefused = [](const std::string &body) {
+        const auto table = parseRouting(body);
+        return !table || !checkRouting(table.value());
+    };
+    const auto with = [](std::string body, std::string_view from, const std::string &to) { return body.replace(body.find(from), from.size(), to); };
+    const auto plain = configurationOf(plainRow);
+    REQUIRE_FALSE(isRefused(plain));
+    CHECK(isRefused(with(plain, "false,3.0,10.0", "false," + bad + ",10.0")));
+    CHECK(isRefused(with(plain, "1500,400,1", bad + ",400,1")));
+    CHECK(isRefused(with(plain, "1500,400,1", "1500," + bad + ",1")));
+    CHECK(isRefused(with(plain, "1500,400,1", "1500,400," + bad)));
+    CHECK(isRefused(with(plain, "\"/healthz\",360", "\"/healthz\"," + bad)));
+    CHECK(isRefused(with(plain, "16384", bad)));
+    CHECK(isRefused(with(plain, "15000", bad)));
+    CHECK(isRefused(configurationOf(plainRow, bad)));
+    CHECK(isRefused(configurationOf(plainRow, "\"r" + bad + "\"")) == (bad != "9223372036854775807"));
+}
+
+TEST_CASE("platform: rates and weights of a configuration are finite and not negative", "[platform]")
+{
+    const auto isRefused = [](const std::string &body) {
+        const auto table = parseRouting(body);
+        return !table || !checkRouting(table.value());
+    };
+    const auto with = [](std::string body, std::string_view from, const std::string &to) { return body.replace(body.find(from), from.size(), to); };
+    const auto weighted = configurationOf(weightedRow);
+    REQUIRE_FALSE(isRefused(weighted));
+    CHECK(isRefused(with(with(weighted, ":90}", ":1.7e308}"), ":10}", ":1.7e308}")));
+    CHECK(isRefused(with(weighted, ":90}", ":1e400}")));
+    CHECK(isRefused(with(weighted, ":90}", ":-1}")));
+    CHECK(isRefused(with(weighted, "3.0,10.0", "3.0,-1")));
+    CHECK(isRefused(with(weighted, "3.0,10.0", "3.0,1e400")));
+}
+
 TEST_CASE("platform: header fields are read once, and written for the upstream", "[platform]")
 {
     const platform_header_codec headerCodec;
