relay: a draining host asks its schedule again once a connection is established

Cause: the schedule was asked before the attempt only, and the wait for the connection is part of the attempt. Fix: the attempt asks as well before it sends the first byte; a request that is too late then is refused as not run. Test: `nodes: a stopping entry host sends nothing that waited too long for a connection`, with connections that take 0.6 s longer, a new fault of the fault library; before, the upstream ran the request (200 == 503).

--- a/soak/fault_block.h
+++ b/soak/fault_block.h
@@ -14,6 +14,8 @@
     std::int64_t diskFull = 0;
     // If not 0, new connections to 127.0.0.1, where upstreams listen, are refused. Open ones go on.
     std::int64_t upstreamsUnreachable = 0;
+    // New connections to 127.0.0.1 take this much longer; the thread that opens one blocks for that time.
+    std::int64_t upstreamConnectDelayMs = 0;
 };
 
 } // namespace hornbeampick::soak
--- a/soak/fault_shim.cpp
+++ b/soak/fault_shim.cpp
@@ -3,6 +3,7 @@
 #include "fault_block.h"
 
 #include <cerrno>
+#include <chrono>
 #include <cstdlib>
 #include <dlfcn.h>
 #include <fcntl.h>
@@ -10,6 +11,7 @@
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <thread>
 #include <time.h>
 #include <unistd.h>
 
@@ -107,10 +109,14 @@
 {
     static const auto real = next<int (*)(int, const sockaddr *, socklen_t)>("connect");
     const auto *faults = block();
-    if (faults != nullptr && faults->upstreamsUnreachable != 0 && address->sa_family == AF_INET
-        && reinterpret_cast<const sockaddr_in *>(address)->sin_addr.s_addr == htonl(INADDR_LOOPBACK)) {
+    const bool isUpstream
+        = faults != nullptr && address->sa_family == AF_INET && reinterpret_cast<const sockaddr_in *>(address)->sin_addr.s_addr == htonl(INADDR_LOOPBACK);
+    if (isUpstream && faults->upstreamsUnreachable != 0) {
         errno = ECONNREFUSED;
         return -1;
     }
+    if (isUpstream && faults->upstreamConnectDelayMs > 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(faults->upstreamConnectDelayMs));
+    }
     return real(socket, address, length);
 }
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -196,7 +196,7 @@
     }
     context.service = chooseService(*context.matched, context.id);
     context.deadline = context.arrivedAt + std::min(metadata.callerTimeout.value_or(context.matched->timeout), context.matched->timeout);
-    if (!mayStartAttempt(context, context.arrivedAt)) {
+    if (!mayStartAttempt(m_state.drain, context, context.arrivedAt)) {
         return {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter};
     }
     return {.status = 200, .error = errc::ok};
@@ -243,10 +243,10 @@
     attempt_outcome outcome;
     std::optional<dispatch_grant> lastGrant;
     std::uint32_t connectFailures = 0;
-    upstream_attempt attempt(m_parts, m_pool, m_stream, m_buffer);
+    upstream_attempt attempt(m_parts, m_pool, m_state.drain, m_stream, m_buffer);
     while (true) {
         const auto now = m_parts.clock.now();
-        if (!mayStartAttempt(context, now)) {
+        if (!mayStartAttempt(m_state.drain, context, now)) {
             if (outcome.response || context.mayHaveRun) {
                 break;
             }
@@ -276,6 +276,10 @@
         auto attemptOutcome = co_await attempt.run(context, *lastGrant);
         m_cancellableAttempt = nullptr;
         const auto ejectedFor = m_parts.dispatch.finish(*lastGrant, attemptOutcome.end, attemptOutcome.load);
+        if (attemptOutcome.isTooLate) {
+            // The check at the start of the loop answers the request.
+            continue;
+        }
         if (ejectedFor) {
             logRateLimited(
                 log_level::warning, "upstream-set-aside",
@@ -304,13 +308,6 @@
     co_return co_await sendResponse(context, outcome, *lastGrant, attempt);
 }
 
-// Returns false when this host drains and could end before the request does.
-bool relay_session::mayStartAttempt(const request_context &context, steady_time now) const
-{
-    const auto schedule = m_state.drain.get();
-    return !schedule || schedule->mayStart(now, context.deadline);
-}
-
 bool relay_session::mayRetry(const request_context &context, const attempt_outcome &outcome)
 {
     if (context.isBodyStreamed || context.attemptsSent >= context.matched->attempts || context.remaining(m_parts.clock.now()) < minRetryTime) {
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -55,7 +55,6 @@
     boost::asio::awaitable<bool> tryUpstreams(request_context &context);
     [[nodiscard]] local_response matchRoute(request_context &context) const;
     [[nodiscard]] dispatch_result chooseUpstream(const request_context &context, steady_time now);
-    [[nodiscard]] bool mayStartAttempt(const request_context &context, steady_time now) const;
     [[nodiscard]] bool mayRetry(const request_context &context, const attempt_outcome &outcome);
     void logFailure(const request_context &context, const dispatch_grant &grant, const attempt_outcome &outcome) const;
     void reportDeath(const request_context &context, const dispatch_grant &grant);
--- a/src/relay/request_context.cpp
+++ b/src/relay/request_context.cpp
@@ -22,4 +22,10 @@
     return matched.services.back().service;
 }
 
+bool mayStartAttempt(const published<drain_schedule> &drain, const request_context &context, steady_time now)
+{
+    const auto schedule = drain.get();
+    return !schedule || schedule->mayStart(now, context.deadline);
+}
+
 } // namespace hornbeampick
--- a/src/relay/request_context.h
+++ b/src/relay/request_context.h
@@ -3,7 +3,9 @@
 #include "core/clock.h"
 #include "core/digest.h"
 #include "core/error.h"
+#include "core/published.h"
 #include "rules/routing_table.h"
+#include "steering/drain_schedule.h"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -56,4 +58,8 @@
 /// Returns the service for the request with this id, according to the service weights of its route. The same id gives the same service.
 const service_name &chooseService(const route &matched, std::string_view id);
 
+/// Returns false when this host drains and could end before the request does. `drain` is null until the drain begins. Once false for a
+/// request, it stays false.
+bool mayStartAttempt(const published<drain_schedule> &drain, const request_context &context, steady_time now);
+
 } // namespace hornbeampick
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -57,9 +57,11 @@
 
 } // namespace
 
-upstream_attempt::upstream_attempt(const relay_parts &parts, upstream_connection_pool &pool, beast::tcp_stream &callerStream, beast::flat_buffer &callerBuffer)
+upstream_attempt::upstream_attempt(const relay_parts &parts, upstream_connection_pool &pool, const published<drain_schedule> &drain,
+                                   beast::tcp_stream &callerStream, beast::flat_buffer &callerBuffer)
     : m_parts(parts)
     , m_pool(pool)
+    , m_drain(drain)
     , m_callerStream(callerStream)
     , m_callerBuffer(callerBuffer)
 {
@@ -84,9 +86,15 @@
     if (m_cancelled) {
         co_return outcome;
     }
+    const auto now = m_parts.clock.now();
+    // A new connection may have taken long to establish.
+    if (!mayStartAttempt(m_drain, context, now)) {
+        outcome.isTooLate = true;
+        co_return outcome;
+    }
     outcome.mayHaveRun = true;
     ++context.attemptsSent;
-    context.lastSentAt = m_parts.clock.now();
+    context.lastSentAt = now;
     m_connection->stream.expires_at(context.deadline + responseGrace);
     if (co_await sendRequest(context, grant, outcome)) {
         co_await readResponse(context, grant, outcome);
--- a/src/relay/upstream_attempt.h
+++ b/src/relay/upstream_attempt.h
@@ -39,6 +39,8 @@
     dispatch_outcome end = dispatch_outcome::abandoned;
     // Bytes of the request may have reached the upstream, and it did not state that it has not executed the request.
     bool mayHaveRun = false;
+    // This host drains, and the time in which the request could start ended before any of it was sent.
+    bool isTooLate = false;
     // The upstream's address refuses connections: the upstream died during the attempt.
     bool upstreamDied = false;
     std::optional<load_report> load;
@@ -54,7 +56,8 @@
 {
 public:
     /// All references must outlive the attempt. The rest of a long request body is read from `callerStream` and `callerBuffer`.
-    upstream_attempt(const relay_parts &parts, upstream_connection_pool &pool, boost::beast::tcp_stream &callerStream, boost::beast::flat_buffer &callerBuffer);
+    upstream_attempt(const relay_parts &parts, upstream_connection_pool &pool, const published<drain_schedule> &drain, boost::beast::tcp_stream &callerStream,
+                     boost::beast::flat_buffer &callerBuffer);
 
     /// Sends the request to the upstream of `grant` and reads the response, the body only up to `maxBufferedBodyBytes`.
     boost::asio::awaitable<attempt_outcome> run(request_context &context, const dispatch_grant &grant);
@@ -74,6 +77,7 @@
 
     relay_parts m_parts;
     upstream_connection_pool &m_pool;
+    const published<drain_schedule> &m_drain;
     boost::beast::tcp_stream &m_callerStream;
     boost::beast::flat_buffer &m_callerBuffer;
     std::unique_ptr<upstream_connection> m_connection;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -24,13 +24,15 @@
 // Runs requests whose path contains "slow" for this long.
 constexpr std::chrono::milliseconds slowRunTime {2500};
 
+// Closes the connection after requests whose path contains "last".
 bool echo(const received_request &request, scripted_upstream::socket &to)
 {
     if (request.line().find("slow") != std::string::npos) {
         std::this_thread::sleep_for(slowRunTime);
     }
-    scripted_upstream::write(to, scripted_upstream::answer(request, "from " + request.line()));
-    return true;
+    const bool isLast = request.line().find("last") != std::string::npos;
+    scripted_upstream::write(to, scripted_upstream::answer(request, "from " + request.line(), isLast ? "Connection: close\r\n" : ""));
+    return !isLast;
 }
 
 // A connection of a caller that stays open between requests.
@@ -165,7 +167,12 @@
     // Sets whether new connections of an entry host to upstreams are refused. Requires the fault library.
     void setUpstreamsUnreachable(std::size_t entry, bool unreachable) const
     {
-        const hornbeampick::soak::fault_block block {.upstreamsUnreachable = unreachable ? 1 : 0};
+        setFaults(entry, {.upstreamsUnreachable = unreachable ? 1 : 0});
+    }
+
+    // Replaces the faults of an entry host. Requires the fault library.
+    void setFaults(std::size_t entry, const hornbeampick::soak::fault_block &block) const
+    {
         std::ofstream file(fleet.faultFileOf("entry-" + std::to_string(entry)), std::ios::binary | std::ios::in | std::ios::out);
         file.write(reinterpret_cast<const char *>(&block), sizeof(block));
     }
@@ -420,6 +427,32 @@
     REQUIRE(fixture.north.requests() + fixture.south.requests() - passedOnBefore == served);
 }
 
+// A request waited for a new connection to its upstream while the time in which it could still start ran out, and was sent all the same.
+TEST_CASE("nodes: a stopping entry host sends nothing that waited too long for a connection", "[integration][nodes]")
+{
+    using std::chrono::milliseconds;
+    node_fixture fixture(
+        {.controlHosts = node_fixture::controlHosts, .entryHosts = 2, .preload = HORNBEAMPICK_FAULT_LIBRARY, .lookupLifetime = milliseconds(2000)});
+    INFO(fixture.fleet.logs());
+    kept_connection caller(fixture.fleet.front(0));
+    // Leaves the thread that serves this caller without open connections to upstreams.
+    for (int i = 0; i < 10; ++i) {
+        REQUIRE(caller.send("/once/last-" + std::to_string(i), 3000) == 200);
+    }
+    const auto before = fixture.north.requests() + fixture.south.requests();
+    fixture.fleet.signal("entry-0", SIGTERM);
+    fixture.setFaults(0, {.upstreamConnectDelayMs = 600});
+    REQUIRE(awaitCondition([&] { return !fixture.ready(0); }));
+    // The host takes requests with late deadlines for 2.7 s.
+    const auto sentAt = std::chrono::steady_clock::now() + milliseconds(2300);
+    std::this_thread::sleep_until(sentAt);
+    REQUIRE(caller.send("/once/1", 5000) == 503);
+    // It was refused after the wait for a connection, not on arrival.
+    REQUIRE(std::chrono::steady_clock::now() >= sentAt + milliseconds(600));
+    REQUIRE(fixture.north.requests() + fixture.south.requests() == before);
+    REQUIRE(fixture.fleet.awaitExit("entry-0") == 0);
+}
+
 // An entry host without a path to any upstream tried them one after another, and its callers got 503.
 TEST_CASE("nodes: an entry host that is cut off from all upstreams serves through another one", "[integration][nodes]")
 {
