nodes: test that a stopping entry host takes nothing after look-ups expire

From then on the host ends as soon as no request is in progress, so that whatever it took would be cut off. No test guarded the call to stopAccepting before the wait. This one fails when it is removed: 200 == 503.

--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -427,6 +427,35 @@
     REQUIRE(fixture.north.requests() + fixture.south.requests() - passedOnBefore == served);
 }
 
+// Requests that a host takes after its last look at their number are cut off when it ends.
+TEST_CASE("nodes: a stopping entry host takes nothing more once look-ups have expired, though it still runs", "[integration][nodes]")
+{
+    using std::chrono::milliseconds;
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    kept_connection running(fixture.fleet.front(0));
+    kept_connection late(fixture.fleet.front(0));
+    REQUIRE(running.send("/once/before-1", 3000) == 200);
+    REQUIRE(late.send("/once/before-2", 3000) == 200);
+    fixture.fleet.signal("entry-0", SIGTERM);
+    REQUIRE(awaitCondition([&] { return !fixture.ready(0); }));
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    unsigned runningStatus = 0;
+    std::thread caller([&] {
+        std::this_thread::sleep_until(stoppedAt + milliseconds(300));
+        runningStatus = running.send("/once/slow", 3000);
+    });
+    // Look-ups live for 1 s, and connections are accepted for twice that time. A request with this deadline could still end in time.
+    std::this_thread::sleep_until(stoppedAt + milliseconds(2300));
+    const auto lateStatus = late.send("/once/late", 500);
+    const auto newStatus = fixture.send(0).status;
+    caller.join();
+    REQUIRE(lateStatus == 503);
+    REQUIRE(newStatus == 0);
+    REQUIRE(runningStatus == 200);
+    REQUIRE(fixture.fleet.awaitExit("entry-0") == 0);
+}
+
 // A request waited for a new connection to its upstream while the time in which it could still start ran out, and was sent all the same.
 TEST_CASE("nodes: a stopping entry host sends nothing that waited too long for a connection", "[integration][nodes]")
 {
