nodes: an announcement that is not saved is not confirmed at the end

What callers saw: an upstream whose deregistration reached a control host while it ended could get its yes although the announcement was not on the disk. Cause: awaitSaved answered true for every position once the persister was stopping. Fix: it answers whether the position is saved. Test: `announcement keeper: what is not saved is not confirmed at the end`; before, the answers were {false, true}.

--- a/src/node/announcement_persister.cpp
+++ b/src/node/announcement_persister.cpp
@@ -59,15 +59,17 @@
 
 void announcement_persister::awaitSaved(std::uint64_t position, steady_time deadline, std::function<void(bool)> done)
 {
+    bool isSaved = false;
     {
         const std::lock_guard guard(m_lock);
-        if (m_saved < position && !m_stopping) {
+        isSaved = position <= m_saved;
+        if (!isSaved && !m_stopping) {
             m_waiters.push_back({.position = position, .deadline = deadline, .done = std::move(done)});
             m_changed.notify_all();
             return;
         }
     }
-    done(true);
+    done(isSaved);
 }
 
 std::vector<std::pair<announcement_persister::waiter, bool>> announcement_persister::takeCompleted(std::uint64_t saved)
--- a/tests/node/announcement_persister_test.cpp
+++ b/tests/node/announcement_persister_test.cpp
@@ -90,3 +90,21 @@
     fixture.persister.start();
     REQUIRE(fixture.log.changedAfter(0, fixture.clock.now()).size() == 1);
 }
+
+// A call that came while the process ended was told that its position is saved, though it was not.
+TEST_CASE("announcement keeper: what is not saved is not confirmed at the end", "[announcements]")
+{
+    std::vector<bool> answers;
+    {
+        persister_fixture fixture;
+        fixture.store.fails = true;
+        fixture.persister.start();
+        const auto position = fixture.log.report(reportOf("a"), fixture.clock.now());
+        const auto deadline = fixture.clock.now() + longTimeout;
+        fixture.persister.awaitSaved(position, deadline, [&, position, deadline](bool isSaved) {
+            answers.push_back(isSaved);
+            fixture.persister.awaitSaved(position, deadline, [&](bool isSavedLater) { answers.push_back(isSavedLater); });
+        });
+    }
+    REQUIRE(answers == std::vector<bool> {false, false});
+}
