--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -69,9 +69,11 @@
 
 } // namespace
 
-upstream_attempt::upstream_attempt(const relay_parts &parts, upstream_connection_pool &pool, beast::tcp_stream &callerStream, beast::flat_buffer &callerBuffer)
+upstream_attempt::upstream_attempt(const relay_parts &parts, upstream_connection_pool &pool, const published<drain_schedule> &drain,
+                                   beast::tcp_stream &callerStream, beast::flat_buffer &callerBuffer)
     : m_parts(parts)
     , m_pool(pool)
+    , m_drain(drain)
     , m_callerStream(callerStream)
     , m_callerBuffer(callerBuffer)
 {
@@ -116,9 +118,15 @@
     if (m_cancelled) {
         co_return outcome;
     }
+    const auto now = m_parts.clock.now();
+    // A new connection may have taken long to establish.
+    if (!mayStartAttempt(m_drain, context, now)) {
+        outcome.isTooLate = true;
+        co_return outcome;
+    }
     outcome.mayHaveRun = true;
     context.attemptsSent += m_throughPeer ? 0 : 1;
-    context.lastSentAt = m_parts.clock.now();
+    context.lastSentAt = now;
     m_connection->stream.expires_at(context.deadline + responseGrace);
     // Only the id tells a later response on the same connection from this one.
     m_notReusable = m_notReusable || context.id.empty();
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -24,13 +24,15 @@
 // Runs requests whose path contains "slow" for this long.
 constexpr std::chrono::milliseconds slowRunTime {2500};
 
+// Closes the connection after requests whose path contains "last".
 bool echo(const received_request &request, scripted_upstream::socket &to)
 {
     if (request.line().find("slow") != std::string::npos) {
         std::this_thread::sleep_for(slowRunTime);
     }
-    scripted_upstream::write(to, scripted_upstream::answer(request, "from " + request.line()));
-    return true;
+    const bool isLast = request.line().find("last") != std::string::npos;
+    scripted_upstream::write(to, scripted_upstream::answer(request, "from " + request.line(), isLast ? "Connection: close\r\n" : ""));
+    return !isLast;
 }
 
 // A connection of a caller that stays open between requests.
@@ -165,7 +167,12 @@
     // Sets whether new connections of an entry host to upstreams are refused. Requires the fault library.
     void setUpstreamsUnreachable(std::size_t entry, bool unreachable) const
     {
-        const hornbeampick::soak::fault_block block {.upstreamsUnreachable = unreachable ? 1 : 0};
+        setFaults(entry, {.upstreamsUnreachable = unreachable ? 1 : 0});
+    }
+
+    // Replaces the faults of an entry host. Requires the fault library.
+    void setFaults(std::size_t entry, const hornbeampick::soak::fault_block &block) const
+    {
         std::ofstream file(fleet.faultFileOf("entry-" + std::to_string(entry)), std::ios::binary | std::ios::in | std::ios::out);
         file.write(reinterpret_cast<const char *>(&block), sizeof(block));
     }
@@ -537,6 +544,61 @@
     REQUIRE(fixture.north.requests() + fixture.south.requests() - passedOnBefore == served);
 }
 
+// Requests that a host takes after its last look at their number are cut off when it ends.
+TEST_CASE("nodes: a stopping entry host takes nothing more once look-ups have expired, though it still runs", "[integration][nodes]")
+{
+    using std::chrono::milliseconds;
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    kept_connection running(fixture.fleet.front(0));
+    kept_connection late(fixture.fleet.front(0));
+    REQUIRE(running.send("/once/before-1", 3000) == 200);
+    REQUIRE(late.send("/once/before-2", 3000) == 200);
+    fixture.fleet.signal("entry-0", SIGTERM);
+    REQUIRE(awaitCondition([&] { return !fixture.ready(0); }));
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    unsigned runningStatus = 0;
+    std::thread caller([&] {
+        std::this_thread::sleep_until(stoppedAt + milliseconds(300));
+        runningStatus = running.send("/once/slow", 3000);
+    });
+    // Look-ups live for 1 s, and connections are accepted for twice that time. A request with this deadline could still end in time.
+    std::this_thread::sleep_until(stoppedAt + milliseconds(2300));
+    const auto lateStatus = late.send("/once/late", 500);
+    const auto newStatus = fixture.send(0).status;
+    caller.join();
+    REQUIRE(lateStatus == 503);
+    REQUIRE(newStatus == 0);
+    REQUIRE(runningStatus == 200);
+    REQUIRE(fixture.fleet.awaitExit("entry-0") == 0);
+}
+
+// A request waited for a new connection to its upstream while the time in which it could still start ran out, and was sent all the same.
+TEST_CASE("nodes: a stopping entry host sends nothing that waited too long for a connection", "[integration][nodes]")
+{
+    using std::chrono::milliseconds;
+    node_fixture fixture(
+        {.controlHosts = node_fixture::controlHosts, .entryHosts = 2, .preload = HORNBEAMPICK_FAULT_LIBRARY, .lookupLifetime = milliseconds(2000)});
+    INFO(fixture.fleet.logs());
+    kept_connection caller(fixture.fleet.front(0));
+    // Leaves the thread that serves this caller without open connections to upstreams.
+    for (int i = 0; i < 10; ++i) {
+        REQUIRE(caller.send("/once/last-" + std::to_string(i), 3000) == 200);
+    }
+    const auto before = fixture.north.requests() + fixture.south.requests();
+    fixture.fleet.signal("entry-0", SIGTERM);
+    fixture.setFaults(0, {.upstreamConnectDelayMs = 600});
+    REQUIRE(awaitCondition([&] { return !fixture.ready(0); }));
+    // The host takes requests with late deadlines for 2.7 s.
+    const auto sentAt = std::chrono::steady_clock::now() + milliseconds(2300);
+    std::this_thread::sleep_until(sentAt);
+    REQUIRE(caller.send("/once/1", 5000) == 503);
+    // It was refused after the wait for a connection, not on arrival.
+    REQUIRE(std::chrono::steady_clock::now() >= sentAt + milliseconds(600));
+    REQUIRE(fixture.north.requests() + fixture.south.requests() == before);
+    REQUIRE(fixture.fleet.awaitExit("entry-0") == 0);
+}
+
 // An entry host without a path to any upstream tried them one after another, and its callers got 503.
 TEST_CASE("nodes: an entry host that is cut off from all upstreams serves through another one", "[integration][nodes]")
 {
--- a/tests/platform/control_front_end_test.cpp
+++ b/tests/platform/control_front_end_test.cpp
@@ -100,3 +100,14 @@
     CHECK(fixture.calls.announced.empty());
     CHECK(fixture.calls.submitted.empty());
 }
+
+// Operators take 400 as the end of their call; a stopping host must send them to another one.
+TEST_CASE("platform: a stopping control host answers that the call has not run, not that it is wrong", "[platform]")
+{
+    control_api_mock calls;
+    const control_front_end frontEnd(calls, 80);
+    REQUIRE(frontEnd.makeErrorResponse(errc::stopping).status == 503);
+    REQUIRE(frontEnd.makeErrorResponse(errc::requestTooSlow).status == 408);
+    REQUIRE(frontEnd.makeErrorResponse(errc::malformedRequest).status == 400);
+    REQUIRE(frontEnd.makeErrorResponse(errc::bodyTooLarge).status == 400);
+}
