relay: a caller that does not read holds an upstream only until the deadline

What callers saw: nothing; an upstream whose response was being streamed stayed connected, and at work, after the deadline, while its caller did not read. Cause: each write to the caller had 30 s, whatever was left of the request's time. Class: a step with a time limit of its own inside one that ends sooner. Change: while more of the response is to come, writing ends at the deadline, after which the rest could not be read anyway. The last piece keeps its 30 s.

--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -411,10 +411,13 @@
     std::string payload = std::move(response.body);
     while (true) {
         const std::string framed = framing.chunked && !payload.empty() ? encodeChunk(payload) : payload;
-        if (!co_await write(framed, {})) {
+        const bool isLast = response.parser->is_done();
+        // The rest could not be read after the deadline.
+        const bool isWritten = co_await writeUntil(isLast ? m_parts.clock.now() + writeTimeout : context.deadline, framed, {});
+        if (!isWritten) {
             co_return false;
         }
-        if (response.parser->is_done()) {
+        if (isLast) {
             break;
         }
         payload.clear();
@@ -474,7 +477,12 @@
 
 asio::awaitable<bool> relay_session::write(std::string_view head, std::string_view body)
 {
-    m_stream.expires_after(writeTimeout);
+    co_return co_await writeUntil(m_parts.clock.now() + writeTimeout, head, body);
+}
+
+asio::awaitable<bool> relay_session::writeUntil(steady_time deadline, std::string_view head, std::string_view body)
+{
+    m_stream.expires_at(deadline);
     const std::array buffers {asio::buffer(head), asio::buffer(body)};
     const auto [failed, count] = co_await asio::async_write(m_stream, buffers, noThrow);
     m_stream.expires_never();
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -64,6 +64,7 @@
     boost::asio::awaitable<bool> streamResponse(request_context &context, upstream_response &response, const dispatch_grant &grant, upstream_attempt &attempt);
     boost::asio::awaitable<bool> sendLocalResponse(const request_context *context, const local_response &response);
     boost::asio::awaitable<bool> write(std::string_view head, std::string_view body);
+    boost::asio::awaitable<bool> writeUntil(steady_time deadline, std::string_view head, std::string_view body);
     boost::asio::awaitable<void> drainInput();
 
     void watchForCallerClose();
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -455,6 +455,26 @@
     requireServedByAnother({.name = "split", .head = fixed("HTTP/1.1 200 OK\r\nX"), .piece = fields}, milliseconds(1));
 }
 
+// The relay waits for the caller to read, and the connection to the upstream stays open.
+TEST_CASE("relay: a caller that does not read holds an upstream no longer than its deadline", "[relay][endless]")
+{
+    std::promise<milliseconds> held;
+    scripted_upstream endless([&](const received_request &request, scripted_upstream::socket &to) {
+        const auto startedAt = std::chrono::steady_clock::now();
+        scripted_upstream::writeEndlessly(to, endlessBodies().front().head(request.field("Request-Id")), "x");
+        held.set_value(std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - startedAt));
+        return false;
+    });
+    relay_fixture fixture({&endless});
+    caller client(fixture);
+    client.send("GET /short/e HTTP/1.1\r\nHost: x\r\nRequest-Id: e\r\nDeadline-Ms: 2500\r\n\r\n");
+    auto result = held.get_future();
+    const bool isReleased = result.wait_for(milliseconds(800)) == std::future_status::ready;
+    client.close();
+    REQUIRE(isReleased);
+    REQUIRE(result.get() >= milliseconds(200));
+}
+
 TEST_CASE("relay: what an upstream did not run goes to the next, also when it may run once", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
