platform: test the statuses of evacuations; what a control host refuses

The front end's statuses for an order whose failure domain is no name, and for one that is not confirmed, are now tested with the mock of what it calls.

--- a/tests/platform/control_front_end_test.cpp
+++ b/tests/platform/control_front_end_test.cpp
@@ -88,6 +88,20 @@
     }
 }
 
+TEST_CASE("control front end: an order for a failure domain that is no name is the sender's error", "[platform]")
+{
+    front_end_fixture fixture;
+    for (const std::string path : {"/-/Evacuate.Start/north-a", "/-/Evacuate.End/north-a"}) {
+        CAPTURE(path);
+        fixture.calls.outcome = success();
+        CHECK(fixture.post(path, "") == 200);
+        fixture.calls.outcome = errc::malformedRequest;
+        CHECK(fixture.post(path, "") == 400);
+        fixture.calls.outcome = errc::noQuorum;
+        CHECK(fixture.post(path, "") == 503);
+    }
+}
+
 TEST_CASE("control front end: bodies that cannot be read reach nobody", "[platform]")
 {
     front_end_fixture fixture;
