relay: aborted requests are logged at a limited rate, without times they lack

A host that ended with many requests in progress wrote a line for each at once. `sentMs` and `deadlineMs` were 0 for a request that had none, which is also the start of the drain; they are `none` now, as seen for a request without a route in the tests of the relay. The comment on stopAccepting says which requests are still waited for.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -154,7 +154,8 @@
         m_relay->beginDrain(schedule);
         asio::steady_timer timer(co_await asio::this_coro::executor, schedule.acceptUntil());
         co_await timer.async_wait(noThrow);
-        // From here on no further request is passed on, so that none is cut off between the last look at their number and the end.
+        // From here on further requests are refused, so that none is cut off between the last look at their number and the end. A request
+        // that got past the refusal just before counts as active, and is waited for.
         m_relay->stopAccepting();
         while (m_clock.now() < schedule.end() && m_relay->activeRequests() > 0) {
             timer.expires_after(drainPollInterval);
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -156,21 +156,25 @@
     }
 
 private:
-    // Times are relative to the start of the drain, negative before it.
+    // Times are relative to the start of the drain, negative before it. A time that the request does not have is logged as text.
     void logAborted(const request_context &request) const
     {
         if (request.arrivedAt == steady_time {}) {
             return;
         }
-        const auto sinceDrain
-            = [this](steady_time at) { return static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(at - m_drainBeganAt).count()); };
-        logEvent(log_level::warning, "request-aborted",
-                 {{"request", request.id},
-                  {"service", request.service.string()},
-                  {"takenMs", sinceDrain(request.arrivedAt)},
-                  {"sentMs", request.attemptsSent > 0 ? sinceDrain(request.lastSentAt) : 0},
-                  {"deadlineMs", request.matched != nullptr ? sinceDrain(request.deadline) : 0},
-                  {"attempts", static_cast<std::int64_t>(request.attemptsSent)}});
+        const auto sinceDrain = [this](steady_time at, bool exists = true) -> decltype(log_field::value) {
+            if (!exists) {
+                return std::string("none");
+            }
+            return static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(at - m_drainBeganAt).count());
+        };
+        logRateLimited(log_level::warning, "request-aborted",
+                       {{"request", request.id},
+                        {"service", request.service.string()},
+                        {"takenMs", sinceDrain(request.arrivedAt)},
+                        {"sentMs", sinceDrain(request.lastSentAt, request.attemptsSent > 0)},
+                        {"deadlineMs", sinceDrain(request.deadline, request.matched != nullptr)},
+                        {"attempts", static_cast<std::int64_t>(request.attemptsSent)}});
     }
 
     asio::awaitable<void> acceptLoop()
