nodes: signals that arrive during a start or a stop do not end the process

Cause: the handlers were installed by coroutines once the host served, some 40 ms after main began on a busy machine, and were removed with the io_context before the process ended: asio then restores a signal's default action. The daemon with a rule file had no handler of SIGHUP; nobody ignored SIGPIPE. Class: a signal's default action applies outside the life of its handler. Change: main first blocks SIGHUP, SIGINT and SIGTERM, which all threads inherit, and ignores SIGPIPE. run() unblocks them in the main thread, which only waits, while the signal sets, now members, exist. What arrived before is delivered then, so that neither a reload nor a stop is lost; what arrives later stays blocked. An entry host's context therefore runs on a thread of its own. Left: before main, while the dynamic loader loads some 60 libraries, a signal still ends the process.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "claims/epoch_planner.h"
 #include "daemon/front_end.h"
+#include "daemon/process_signals.h"
 #include "daemon/rule_submitter.h"
 #include "daemon_options.h"
 #include "observe/log.h"
@@ -127,7 +128,7 @@
         asio::co_spawn(m_context, runGateTimer(), asio::detached);
         asio::co_spawn(m_context, runTableTimer(), asio::detached);
         asio::co_spawn(m_context, runEpochTimer(), asio::detached);
-        asio::co_spawn(m_context, awaitSignal(), asio::detached);
+        asio::co_spawn(m_context, awaitSignals(), asio::detached);
         if (m_replica) {
             m_replica->start();
         }
@@ -137,8 +138,11 @@
         for (unsigned i = 0; i < m_settings->limits().threads(); ++i) {
             threads.emplace_back([this] { m_context.run(); });
         }
-        for (auto &thread : threads) {
-            thread.join();
+        {
+            const signal_delivery delivery;
+            for (auto &thread : threads) {
+                thread.join();
+            }
         }
         stopParts();
         logEvent(log_level::info, "stopped");
@@ -316,10 +320,16 @@
         }
     }
 
-    asio::awaitable<void> awaitSignal()
+    asio::awaitable<void> awaitSignals()
     {
-        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
-        co_await signals.async_wait(noThrow);
+        bool keepRunning = true;
+        while (keepRunning) {
+            const auto [failed, number] = co_await m_signals.async_wait(noThrow);
+            keepRunning = !failed && number == SIGHUP;
+            if (keepRunning) {
+                logEvent(log_level::info, "signal-ignored", {{"signal", static_cast<std::int64_t>(number)}});
+            }
+        }
         stop();
     }
 
@@ -399,6 +409,7 @@
     std::atomic<bool> m_stopRequested {false};
     // Destroyed before the members above, which its coroutines refer to, and after the servers below, which submit work to it.
     asio::io_context m_context;
+    asio::signal_set m_signals {m_context, SIGTERM, SIGINT, SIGHUP};
     std::unique_ptr<peer_server> m_server;
     std::unique_ptr<http_server> m_http;
 };
--- a/src/hornbeampickd.cpp
+++ b/src/hornbeampickd.cpp
@@ -1,6 +1,7 @@
 // Entry point of the daemon.
 
 #include "daemon/daemon.h"
+#include "daemon/process_signals.h"
 #include "front_ends.h"
 #include "node/node.h"
 #include "observe/log.h"
@@ -82,6 +83,7 @@
     options.add_options()("settings", "settings file of a host whose rules come from a rule file (YAML)", cxxopts::value<std::string>(),
                           "FILE")("node", "settings file of an entry or control host whose routes come from its operators (YAML)",
                                   cxxopts::value<std::string>(), "FILE")("help", "show this help");
+    holdSignals();
     try {
         const auto parsed = options.parse(argc, argv);
         if (parsed.count("help") > 0) {
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -1,5 +1,6 @@
 #include "core/text.h"
 #include "daemon/await_callback.h"
+#include "daemon/process_signals.h"
 #include "node/announcement_persister.h"
 #include "node/node.h"
 #include "node_common.h"
@@ -110,8 +111,11 @@
         for (unsigned i = 0; i < m_settings->threads(); ++i) {
             threads.emplace_back([this] { m_context.run(); });
         }
-        for (auto &thread : threads) {
-            thread.join();
+        {
+            const signal_delivery delivery;
+            for (auto &thread : threads) {
+                thread.join();
+            }
         }
         shutDown();
         logEvent(log_level::info, "stopped");
@@ -314,13 +318,11 @@
         }
     }
 
-    // Uses one signal set for all signals: sets that several threads create concurrently can lose a signal.
     asio::awaitable<void> awaitSignals()
     {
-        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
         bool keepRunning = true;
         while (keepRunning) {
-            const auto [failed, number] = co_await signals.async_wait(noThrow);
+            const auto [failed, number] = co_await m_signals.async_wait(noThrow);
             keepRunning = !failed && number == SIGHUP;
             if (keepRunning) {
                 logEvent(log_level::info, "reload");
@@ -357,6 +359,7 @@
 
     std::shared_ptr<const schema::node_settings> m_settings;
     asio::io_context m_context;
+    asio::signal_set m_signals {m_context, SIGTERM, SIGINT, SIGHUP};
     system_clock_source m_clock;
     seeded_random_source m_random;
     metrics m_counters;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "control_watch.h"
 #include "core/text.h"
+#include "daemon/process_signals.h"
 #include "node/node.h"
 #include "node_common.h"
 #include "observe/log.h"
@@ -14,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <thread>
 
 namespace hornbeampick
 {
@@ -90,7 +92,11 @@
         asio::co_spawn(m_context, awaitStopSignal(), asio::detached);
         asio::co_spawn(m_context, reloadLoop(), asio::detached);
         asio::co_spawn(m_context, expireQuarantines(), asio::detached);
-        m_context.run();
+        std::thread worker([this] { m_context.run(); });
+        {
+            const signal_delivery delivery;
+            worker.join();
+        }
         shutDown();
         logEvent(log_level::info, "stopped");
     }
@@ -135,8 +141,7 @@
 
     asio::awaitable<void> awaitStopSignal()
     {
-        asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
-        co_await signals.async_wait(noThrow);
+        co_await m_stopSignals.async_wait(noThrow);
         co_await drain();
     }
 
@@ -169,11 +174,10 @@
     asio::awaitable<void> reloadLoop()
     {
         using namespace asio::experimental::awaitable_operators;
-        asio::signal_set signals(co_await asio::this_coro::executor, SIGHUP);
         asio::steady_timer timer(co_await asio::this_coro::executor);
         while (true) {
             timer.expires_after(reloadInterval);
-            const auto event = co_await (signals.async_wait(noThrow) || timer.async_wait(noThrow));
+            const auto event = co_await (m_reloadSignals.async_wait(noThrow) || timer.async_wait(noThrow));
             const bool signalled = event.index() == 0;
             const auto reloaded = m_reload();
             if (!reloaded) {
@@ -221,6 +225,8 @@
     std::shared_ptr<header_codec> m_headerCodec;
     topology m_fleet;
     asio::io_context m_context {1};
+    asio::signal_set m_stopSignals {m_context, SIGTERM, SIGINT};
+    asio::signal_set m_reloadSignals {m_context, SIGHUP};
     system_clock_source m_clock;
     seeded_random_source m_random;
     metrics m_counters;
--- a/tests/fakes/node_fleet.cpp
+++ b/tests/fakes/node_fleet.cpp
@@ -8,8 +8,10 @@
 #include <boost/process.hpp>
 #include <boost/process/environment.hpp>
 #include <csignal>
+#include <fcntl.h>
 #include <fstream>
 #include <sstream>
+#include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
 
@@ -121,6 +123,8 @@
 
 struct node_fleet::host {
     process::child child;
+    // End for writing of the pipe from which the process reads its settings; -1 if it reads them from a regular file.
+    int settingsPipe = -1;
 };
 
 call_answer callHttp(const std::string &address, const std::string &method, const std::string &target, const std::string &body,
@@ -256,10 +260,47 @@
 }
 
 void node_fleet::start(const std::string &name, bool bootstrap)
+{
+    std::ofstream(settingsFileOf(name)) << settingsOf(name, bootstrap);
+    startProcess(name);
+}
+
+bool node_fleet::startWithoutSettings(const std::string &name)
+{
+    const auto file = settingsFileOf(name);
+    std::filesystem::remove(file);
+    if (::mkfifo(file.c_str(), S_IRUSR | S_IWUSR) != 0) {
+        return false;
+    }
+    startProcess(name);
+    int &pipe = m_hosts.at(name)->settingsPipe;
+    // Opening the pipe fails until the process opens it for reading.
+    return awaitCondition([&] {
+        pipe = ::open(file.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        return pipe >= 0;
+    });
+}
+
+void node_fleet::provideSettings(const std::string &name)
+{
+    const auto text = settingsOf(name, true);
+    const auto file = settingsFileOf(name);
+    // A second end for reading, so that the write succeeds even if the process has ended.
+    const int reader = ::open(file.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+    std::filesystem::remove(file);
+    std::ofstream(file) << text;
+    int &pipe = m_hosts.at(name)->settingsPipe;
+    // The pipe holds far more than the settings, so that the write cannot be partial.
+    (void)!::write(pipe, text.data(), text.size());
+    ::close(pipe);
+    ::close(reader);
+    pipe = -1;
+}
+
+void node_fleet::startProcess(const std::string &name)
 {
     std::filesystem::create_directories(m_folder / name);
-    const auto settings = m_folder / (name + ".yaml");
-    std::ofstream(settings) << settingsOf(name, bootstrap);
+    const auto settings = settingsFileOf(name);
     if (!m_options.preload.empty() && !std::filesystem::exists(faultFileOf(name))) {
         std::ofstream(faultFileOf(name)) << std::string(64, '\0');
     }
@@ -320,13 +361,28 @@
     std::filesystem::remove_all(m_folder / name);
 }
 
+std::filesystem::path node_fleet::settingsFileOf(const std::string &name) const
+{
+    return m_folder / (name + ".yaml");
+}
+
+std::string node_fleet::logOf(const std::string &name) const
+{
+    std::ostringstream text;
+    text << std::ifstream(m_folder / (name + ".log")).rdbuf();
+    return text.str();
+}
+
+bool node_fleet::hasLogged(const std::string &name, const std::string &text) const
+{
+    return logOf(name).find(text) != std::string::npos;
+}
+
 std::string node_fleet::logs() const
 {
     std::string all;
     for (const auto &[name, running] : m_hosts) {
-        std::ostringstream text;
-        text << std::ifstream(m_folder / (name + ".log")).rdbuf();
-        const auto content = text.str();
+        const auto content = logOf(name);
         all += "\n" + name + ":\n" + content.substr(content.size() > maxLogBytes ? content.size() - maxLogBytes : 0);
     }
     return all;
--- a/tests/fakes/node_fleet.h
+++ b/tests/fakes/node_fleet.h
@@ -53,6 +53,10 @@
     /// Starts the process of a host; hosts are named control-0, control-1, … and entry-0, entry-1, …
     void start(const std::string &name, bool bootstrap = false);
     void startAll();
+    /// Starts the process of a host without its settings, and waits until it tries to read them. Returns false on timeout.
+    bool startWithoutSettings(const std::string &name);
+    /// Gives a host that startWithoutSettings() started its settings.
+    void provideSettings(const std::string &name);
     /// Sends SIGKILL and waits for the process to exit.
     void kill(const std::string &name);
     /// Sends a signal; does nothing if the process has exited.
@@ -72,6 +76,8 @@
     [[nodiscard]] std::filesystem::path faultFileOf(const std::string &name) const;
     [[nodiscard]] static std::string domainOf(std::size_t host);
     [[nodiscard]] static std::string regionOf(std::size_t host);
+    /// Returns true if the host's log contains `text`.
+    [[nodiscard]] bool hasLogged(const std::string &name, const std::string &text) const;
     /// Returns the last 3000 bytes of every host's log.
     [[nodiscard]] std::string logs() const;
 
@@ -87,6 +93,9 @@
 private:
     struct host;
 
+    void startProcess(const std::string &name);
+    [[nodiscard]] std::filesystem::path settingsFileOf(const std::string &name) const;
+    [[nodiscard]] std::string logOf(const std::string &name) const;
     [[nodiscard]] std::string ipOf(const std::string &name) const;
     [[nodiscard]] std::string settingsOf(const std::string &name, bool bootstrap) const;
 
