soak: requests broken off around planned stops and reloads are found

The soak did not see a request that a stopping host took and gave up: its callers' requests ran for 45 ms at most, and nothing compared what was lost with the signals. New: patient callers, six an entry host, use a kept connection every few seconds until it ends, also during a drain, for requests that run for 10 ms to 3 s. Recorded for each request: whether its connection was kept, how it ended, and when its upstream began and finished. Series of SIGTERM, SIGHUP, restarts and route changes, whose steps overlap, are added to the plan from an engine of their own; the other faults of a seed stay as they were. A restart no longer holds up the faults after it. Look-ups live for 2 s, so that a host takes requests until late in its grace period. The invariant kept-through-signals finds requests that reached an upstream and whose connection closed, or that got an error while the upstream was at work, around a signal to their host and with no unplanned fault on the host or the upstream from 3 s before the request on. Not counted: the deadline or the route's timeout had passed; the upstream was at work 5 s after SIGTERM or later on a request sent up to 3 s after it. `recovers` also finds processes that ended by themselves, and a finding about a request comes with the log lines that name it. Faults of links now stay with the link when upstreams swap addresses; before, the heal reached the other link.

Evidence: records written by hand, good and bad.

--- a/soak/entry_client.cpp
+++ b/soak/entry_client.cpp
@@ -50,30 +50,41 @@
 
 client_answer entry_client::send(const std::string &target, const std::string &id, milliseconds deadline)
 {
-    if (!m_stream && !connect()) {
+    const bool onKeptConnection = m_stream.has_value();
+    if (!onKeptConnection && !connect()) {
         return {};
     }
+    auto answer = exchange(target, id, deadline);
+    answer.onKeptConnection = onKeptConnection;
+    return answer;
+}
+
+client_answer entry_client::exchange(const std::string &target, const std::string &id, milliseconds deadline)
+{
     http::request<http::empty_body> request(http::verb::get, target, 11);
     request.set(http::field::host, "x");
     request.set("Request-Id", id);
     request.set("Deadline-Ms", std::to_string(deadline.count()));
     http::response<http::string_body> response;
-    bool complete = false;
+    auto end = request_end::notSent;
     m_stream->expires_after(deadline + answerGrace);
     http::async_write(*m_stream, request, [&](const beast::error_code &writeError, std::size_t) {
         if (writeError) {
             return;
         }
-        http::async_read(*m_stream, m_buffer, response, [&](const beast::error_code &readError, std::size_t) { complete = !readError; });
+        http::async_read(*m_stream, m_buffer, response, [&](const beast::error_code &readError, std::size_t) {
+            end = !readError ? request_end::answered : readError == beast::error::timeout ? request_end::timedOut : request_end::closed;
+        });
     });
     run();
-    if (!complete || !response.keep_alive()) {
+    const bool answered = end == request_end::answered;
+    if (!answered || !response.keep_alive()) {
         m_stream.reset();
     }
-    if (!complete) {
-        return {};
+    if (!answered) {
+        return {.end = end};
     }
-    return {.status = response.result_int(), .body = response.body()};
+    return {.status = response.result_int(), .body = response.body(), .end = end};
 }
 
 } // namespace hornbeampick::soak
--- a/soak/entry_client.h
+++ b/soak/entry_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/clock.h"
+#include "record.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -11,10 +11,12 @@
 namespace hornbeampick::soak
 {
 
-/// An answer as received by a client; status 0 if no complete answer arrived.
+/// The outcome of a request for its client; status 0 if no complete answer arrived.
 struct client_answer {
     unsigned status = 0;
-    std::string body;
+    std::string body {};
+    bool onKeptConnection = false;
+    request_end end = request_end::notSent;
 };
 
 /// A blocking HTTP client of one entry host that reuses its connection until an error. Not thread-safe.
@@ -31,6 +33,8 @@
     bool connect();
     // Runs the pending asynchronous operations to completion.
     void run();
+    // Writes the request to the open connection and reads the answer.
+    client_answer exchange(const std::string &target, const std::string &id, milliseconds deadline);
 
     std::string m_address;
     boost::asio::io_context m_context;
--- a/soak/fault.cpp
+++ b/soak/fault.cpp
@@ -22,6 +22,8 @@
         std::vector<std::string> hosts;
         action begin;
         action heal;
+        std::vector<std::string> upstreams {};
+        bool planned = false;
     };
 
     explicit simple_fault(parts given)
@@ -37,6 +39,14 @@
     {
         return m_parts.hosts;
     }
+    [[nodiscard]] std::vector<std::string> upstreams() const override
+    {
+        return m_parts.upstreams;
+    }
+    [[nodiscard]] bool isPlanned() const override
+    {
+        return m_parts.planned;
+    }
     void begin(fault_injector &injector) override
     {
         m_parts.begin(injector);
@@ -67,6 +77,14 @@
     {
         return m_hosts;
     }
+    [[nodiscard]] std::vector<std::string> upstreams() const override
+    {
+        return {};
+    }
+    [[nodiscard]] bool isPlanned() const override
+    {
+        return false;
+    }
     void begin(fault_injector &injector) override
     {
         for (const auto &host : m_hosts) {
@@ -137,14 +155,24 @@
 std::shared_ptr<fault> stopped(random_draw &draw, const fault_targets &targets)
 {
     const auto host = anyHost(draw, targets);
-    return makeFault({"stop", {host}, [host](fault_injector &injector) { injector.stop(host); }, [host](fault_injector &injector) { injector.start(host); }});
+    return makeFault({.name = "stop",
+                      .hosts = {host},
+                      .begin = [host](fault_injector &injector) { injector.stop(host); },
+                      .heal = [host](fault_injector &injector) { injector.start(host); },
+                      .planned = true});
 }
 
 std::shared_ptr<fault> reloaded(random_draw &draw, const fault_targets &targets)
 {
     const auto host = anyHost(draw, targets);
     const auto reload = [host](fault_injector &injector) { injector.reload(host); };
-    return makeFault({"reload", {}, reload, reload});
+    return makeFault({.name = "reload", .begin = reload, .heal = reload, .planned = true});
+}
+
+std::shared_ptr<fault> routesChanged(random_draw & /*draw*/, const fault_targets & /*targets*/)
+{
+    const auto change = [](fault_injector &injector) { injector.changeRoutes(); };
+    return makeFault({.name = "routes-changed", .begin = change, .heal = change, .planned = true});
 }
 
 std::shared_ptr<fault> slowDisk(random_draw &draw, const fault_targets &targets)
@@ -181,6 +209,11 @@
                       [host](fault_injector &injector) { injector.stepClock(host, milliseconds(0)); }});
 }
 
+std::vector<std::string> upstreamsBehind(const std::string &link)
+{
+    return link.starts_with("control-") ? std::vector<std::string> {} : std::vector {link};
+}
+
 std::vector<std::string> hostsBehind(const std::string &link)
 {
     return link.starts_with("control-") ? std::vector {link} : std::vector<std::string> {};
@@ -194,14 +227,15 @@
                       [to](fault_injector &injector) {
                           injector.cutLink(to, false, false);
                           injector.resetLink(to);
-                      }});
+                      },
+                      upstreamsBehind(to)});
 }
 
 std::shared_ptr<fault> silence(random_draw &draw, const fault_targets &targets)
 {
     const auto to = linkEnd(draw, targets);
     return makeFault({"silence", hostsBehind(to), [to](fault_injector &injector) { injector.silenceLink(to, true); },
-                      [to](fault_injector &injector) { injector.silenceLink(to, false); }});
+                      [to](fault_injector &injector) { injector.silenceLink(to, false); }, upstreamsBehind(to)});
 }
 
 std::shared_ptr<fault> delayed(random_draw &draw, const fault_targets &targets)
@@ -209,14 +243,14 @@
     const auto to = linkEnd(draw, targets);
     const auto time = draw.between(milliseconds(20), milliseconds(300));
     return makeFault({"delay", hostsBehind(to), [to, time](fault_injector &injector) { injector.delayLink(to, time); },
-                      [to](fault_injector &injector) { injector.delayLink(to, milliseconds(0)); }});
+                      [to](fault_injector &injector) { injector.delayLink(to, milliseconds(0)); }, upstreamsBehind(to)});
 }
 
 std::shared_ptr<fault> resets(random_draw &draw, const fault_targets &targets)
 {
     const auto to = linkEnd(draw, targets);
     const auto reset = [to](fault_injector &injector) { injector.resetLink(to); };
-    return makeFault({"reset", hostsBehind(to), reset, reset});
+    return makeFault({"reset", hostsBehind(to), reset, reset, upstreamsBehind(to)});
 }
 
 std::shared_ptr<fault> upstreamCrash(random_draw &draw, const fault_targets &targets)
@@ -225,7 +259,8 @@
     return makeFault({"upstream-crash",
                       {},
                       [upstream](fault_injector &injector) { injector.crashUpstream(upstream); },
-                      [upstream](fault_injector &injector) { injector.restartUpstream(upstream); }});
+                      [upstream](fault_injector &injector) { injector.restartUpstream(upstream); },
+                      {upstream}});
 }
 
 std::shared_ptr<fault> upstreamLeaves(random_draw &draw, const fault_targets &targets)
@@ -234,7 +269,8 @@
     return makeFault({"upstream-leaves",
                       {},
                       [chosen](fault_injector &injector) { injector.retireUpstream(chosen); },
-                      [chosen](fault_injector &injector) { injector.admitUpstream(chosen); }});
+                      [chosen](fault_injector &injector) { injector.admitUpstream(chosen); },
+                      {chosen}});
 }
 
 std::shared_ptr<fault> addressReuse(random_draw &draw, const fault_targets &targets)
@@ -242,7 +278,7 @@
     const auto first = draw.below(targets.upstreams.size());
     const auto second = (first + 1) % targets.upstreams.size();
     const auto swap = [a = targets.upstreams[first], b = targets.upstreams[second]](fault_injector &injector) { injector.swapAddresses(a, b); };
-    return makeFault({"address-reuse", {}, swap, swap});
+    return makeFault({"address-reuse", {}, swap, swap, {targets.upstreams[first], targets.upstreams[second]}});
 }
 
 std::shared_ptr<fault> massKill(random_draw &draw, const fault_targets &targets)
@@ -271,6 +307,11 @@
                       [host](fault_injector &injector) { injector.start(host); }});
 }
 
+// Salt of the seed from which series of planned work are drawn, so that they leave the other faults of a seed as they are.
+constexpr std::uint64_t seriesSalt = 0x5e71e5;
+// Time around the loss of a disk in which no other control host may be disturbed, so that no further copies are lost with it.
+constexpr milliseconds diskLossMargin {6000};
+
 // Returns true if both faults overlap in time and share a name.
 bool overlaps(const planned_fault &a, std::span<const std::string> aNames, const planned_fault &b, std::span<const std::string> bNames)
 {
@@ -278,6 +319,44 @@
     return sameTime && std::ranges::any_of(aNames, [&](const std::string &name) { return std::ranges::find(bNames, name) != bNames.end(); });
 }
 
+// Returns true if a step of a series must not be added to the plan: it stops a host that another fault affects then, or a control host
+// around the loss of a disk.
+bool conflictsWith(std::span<const planned_fault> plan, const planned_fault &step)
+{
+    const auto names = step.what->hosts();
+    const bool isControl = !names.empty() && names.front().starts_with("control-");
+    return std::ranges::any_of(plan, [&](const planned_fault &other) {
+        const bool nearInTime = step.at < other.at + other.span + diskLossMargin && other.at < step.at + step.span + diskLossMargin;
+        return overlaps(step, names, other, other.what->hosts()) || (isControl && nearInTime && other.what->name() == "emptied-disk");
+    });
+}
+
+// Adds series of planned work whose steps overlap.
+void addSeries(std::vector<planned_fault> &plan, const fault_targets &targets, const fault_plan_options &options)
+{
+    const std::array<fault_factory, 5> factories {stopped, stopped, stopped, reloaded, routesChanged};
+    constexpr std::size_t minSteps = 2;
+    constexpr std::size_t maxFurtherSteps = 4;
+    random_draw draw {std::mt19937_64(options.seed ^ seriesSalt)};
+    milliseconds seriesAt {0};
+    while (true) {
+        seriesAt += draw.between(options.seriesGap / 4, options.seriesGap * 7 / 4);
+        if (seriesAt >= options.length) {
+            return;
+        }
+        auto at = seriesAt;
+        for (auto steps = minSteps + draw.below(maxFurtherSteps + 1); steps > 0 && at < options.length; --steps) {
+            planned_fault step {.at = at, .span = draw.between(milliseconds(200), milliseconds(4000))};
+            step.what = factories.at(draw.below(factories.size()))(draw, targets);
+            step.span = std::min(step.span, options.length - step.at);
+            at += draw.between(options.stepGap / 4, options.stepGap * 7 / 4);
+            if (!conflictsWith(plan, step)) {
+                plan.push_back(std::move(step));
+            }
+        }
+    }
+}
+
 } // namespace
 
 std::vector<planned_fault> planFaults(const fault_targets &targets, const fault_plan_options &options)
@@ -300,8 +379,7 @@
         next.span = std::min(next.span, options.length - next.at);
         const auto names = next.what->hosts();
         const bool conflicts = std::ranges::any_of(plan, [&](const planned_fault &other) {
-            // No other control host may be disturbed around the loss of a disk, so that no further copies are lost with it.
-            const bool nearDiskLoss = (emptiesDisk || other.what->name() == "emptied-disk") && (next.at < other.at + other.span + milliseconds(6000));
+            const bool nearDiskLoss = (emptiesDisk || other.what->name() == "emptied-disk") && (next.at < other.at + other.span + diskLossMargin);
             const auto otherNames = other.what->hosts();
             return overlaps(next, names, other, otherNames)
                 || (nearDiskLoss && !names.empty() && !otherNames.empty() && otherNames.front().starts_with("control-"));
@@ -312,6 +390,7 @@
         emptiedCount += emptiesDisk ? 1 : 0;
         plan.push_back(std::move(next));
     }
+    addSeries(plan, targets, options);
     return plan;
 }
 
--- a/soak/fault.h
+++ b/soak/fault.h
@@ -24,6 +24,8 @@
     /// Requests a planned stop, as operators do. start() waits until the process has exited.
     virtual void stop(const std::string &host) = 0;
     virtual void reload(const std::string &host) = 0;
+    /// Requests further changes of the routes, as operators send them, beside those in progress.
+    virtual void changeRoutes() = 0;
     virtual void emptyDisk(const std::string &host) = 0;
     /// Delays each sync of a file by `delay`; 0 restores normal speed.
     virtual void slowDisk(const std::string &host, milliseconds delay) = 0;
@@ -61,6 +63,10 @@
     [[nodiscard]] virtual std::string_view name() const = 0;
     /// Returns the hosts that may be unreachable or impaired while the fault lasts.
     [[nodiscard]] virtual std::vector<std::string> hosts() const = 0;
+    /// Returns the upstreams that may break off requests or be unreachable while the fault lasts.
+    [[nodiscard]] virtual std::vector<std::string> upstreams() const = 0;
+    /// Returns true for work that operators plan, which hosts must carry out without losing requests.
+    [[nodiscard]] virtual bool isPlanned() const = 0;
     virtual void begin(fault_injector &injector) = 0;
     virtual void heal(fault_injector &injector) = 0;
 };
@@ -78,10 +84,13 @@
     milliseconds gap {1200};
     // Maximum number of faults that empty a disk in the whole run: as many disks as the system may lose at once.
     std::size_t emptiedDisks = 1;
+    // Mean interval between series of planned work, and the interval between the steps of one.
+    milliseconds seriesGap {5000};
+    milliseconds stepGap {400};
 };
 
 /// Generates a plan of faults that may overlap in time; a given seed always gives the same plan. No two faults affect the same host at
-/// the same time.
+/// the same time. Series of planned stops, reloads and changes of the routes are mixed in, drawn apart from the other faults.
 std::vector<planned_fault> planFaults(const fault_targets &targets, const fault_plan_options &options);
 
 } // namespace hornbeampick::soak
--- a/soak/invariant.cpp
+++ b/soak/invariant.cpp
@@ -11,6 +11,7 @@
 
 constexpr unsigned answered = 200;
 constexpr unsigned unknownRoute = 404;
+constexpr unsigned serverError = 500;
 constexpr unsigned notRun = 503;
 
 std::string entryName(std::size_t entry)
@@ -21,9 +22,15 @@
 std::string describe(const request_observation &request)
 {
     std::ostringstream text;
-    text << "request " << request.client.id << " at " << entryName(request.client.entry) << ", status " << request.client.status << ", run by";
+    const auto sinceRequest = [&](steady_time at) { return std::chrono::duration_cast<milliseconds>(at - request.client.requestedAt).count(); };
+    text << "request " << request.client.id << " at " << entryName(request.client.entry) << (request.client.onKeptConnection ? ", kept connection" : "")
+         << ", status " << request.client.status << " after " << sinceRequest(request.client.endedAt) << " of " << request.client.deadline.count()
+         << " ms, run by";
     for (const auto &run : request.runs) {
-        text << ' ' << run.instance;
+        text << ' ' << run.instance << " from " << sinceRequest(run.at) << " ms on";
+        if (run.endedAt != steady_time::max()) {
+            text << " to " << sinceRequest(run.endedAt);
+        }
     }
     return text.str();
 }
@@ -37,7 +44,7 @@
         std::vector<finding> found;
         for (const auto &request : seen.requests) {
             if (!holds(request, seen, bounds)) {
-                found.push_back({.invariant = std::string(name()), .what = describe(request)});
+                found.push_back({.invariant = std::string(name()), .what = describe(request), .request = request.client.id});
             }
         }
         return found;
@@ -109,6 +116,65 @@
     }
 };
 
+// Around signals by which operators stop or reload a host, that host ends no request at which an upstream works.
+class kept_through_signals final : public request_invariant
+{
+public:
+    [[nodiscard]] std::string_view name() const override
+    {
+        return "kept-through-signals";
+    }
+
+protected:
+    [[nodiscard]] bool holds(const request_observation &request, const soak_record &seen, const invariant_bounds &bounds) const override
+    {
+        if (!wasBrokenOff(request) || hadTime(request) >= std::min(request.client.deadline, bounds.routeTimeout)) {
+            return true;
+        }
+        const bool signalled = std::ranges::any_of(seen.signals, [&](const planned_signal &signal) { return breaks(signal, request, bounds); });
+        return !signalled || wasNearUnplannedFault(request, seen, bounds);
+    }
+
+private:
+    // Returns true if a request that reached an upstream got no answer, or an error while the upstream was at work on it.
+    static bool wasBrokenOff(const request_observation &request)
+    {
+        if (request.runs.empty()) {
+            return false;
+        }
+        const bool closed = request.client.status == 0 && request.client.end == request_end::closed;
+        const bool replaced = request.client.status >= serverError && request.client.status != notRun && request.runs.back().endedAt > request.client.endedAt;
+        return closed || replaced;
+    }
+
+    static steady_time::duration hadTime(const request_observation &request)
+    {
+        return request.client.endedAt - request.client.requestedAt;
+    }
+
+    static bool breaks(const planned_signal &signal, const request_observation &request, const invariant_bounds &bounds)
+    {
+        const auto &client = request.client;
+        if (signal.host != entryName(client.entry) || client.endedAt < signal.at) {
+            return false;
+        }
+        if (!signal.stops) {
+            return client.requestedAt <= signal.at + bounds.routesInForce;
+        }
+        const bool ranTooLong = request.runs.back().endedAt >= signal.at + bounds.stopWorkLimit && client.requestedAt <= signal.at + bounds.stopSendLimit;
+        return client.endedAt <= signal.at + bounds.stopGrace + bounds.stopSlack && !ranTooLong;
+    }
+
+    static bool wasNearUnplannedFault(const request_observation &request, const soak_record &seen, const invariant_bounds &bounds)
+    {
+        return std::ranges::any_of(seen.faultIntervals, [&](const fault_interval &each) {
+            const bool concerns = each.host == entryName(request.client.entry)
+                || std::ranges::any_of(request.runs, [&](const upstream_execution &run) { return run.instance == each.host; });
+            return concerns && !each.planned && each.from <= request.client.endedAt && each.to + bounds.contact >= request.client.requestedAt;
+        });
+    }
+};
+
 class left_alone final : public invariant
 {
 public:
@@ -126,7 +192,7 @@
                     return gone.instance == run.instance && run.at > gone.acknowledgedAt + bounds.drain && run.at < gone.until;
                 });
                 if (late && wasUndisturbed(seen, entryName(run.entry), run.at, bounds)) {
-                    found.push_back({.invariant = std::string(name()), .what = describe(request)});
+                    found.push_back({.invariant = std::string(name()), .what = describe(request), .request = request.client.id});
                 }
             }
         }
@@ -209,6 +275,9 @@
         for (const auto &host : seen.end.notStopped) {
             note(host + " did not stop in its grace");
         }
+        for (const auto &host : seen.end.endedByThemselves) {
+            note(host + " ended by itself");
+        }
         if (static_cast<double>(seen.end.served) < bounds.servedAtEnd * static_cast<double>(seen.end.asked)) {
             note(std::to_string(seen.end.served) + " of the last " + std::to_string(seen.end.asked) + " requests served");
         }
@@ -238,6 +307,7 @@
     all.push_back(std::make_unique<own_answer>());
     all.push_back(std::make_unique<true_refusal>());
     all.push_back(std::make_unique<answers_in_time>());
+    all.push_back(std::make_unique<kept_through_signals>());
     all.push_back(std::make_unique<left_alone>());
     all.push_back(std::make_unique<routes_in_force>());
     all.push_back(std::make_unique<fresh_reads>());
--- a/soak/invariant.h
+++ b/soak/invariant.h
@@ -18,6 +18,16 @@
     milliseconds routesInForce {2500};
     // Allowed delay of an answer beyond its deadline, for the return path and scheduling on a busy test machine.
     milliseconds answerSlack {1500};
+    // Time from SIGTERM until a host is killed, and the time after it in which the end of its connections is still put down to the stop.
+    milliseconds stopGrace {6000};
+    milliseconds stopSlack {1000};
+    // A host may give up what an upstream still works on this long after SIGTERM, if the request was sent early enough after it.
+    milliseconds stopWorkLimit {5000};
+    milliseconds stopSendLimit {3000};
+    // Time after an unplanned fault in which hosts may still act on what was true before it.
+    milliseconds contact {3000};
+    // Timeout of the routes that the soak submits.
+    milliseconds routeTimeout {3000};
     // Minimum fraction of the final requests that must be served.
     double servedAtEnd = 0.25;
 };
@@ -26,6 +36,8 @@
 struct finding {
     std::string invariant;
     std::string what;
+    // Id of the request concerned; empty if there is none.
+    std::string request {};
 };
 
 /// An invariant of the system, checked against the observations of clients, upstreams and operators.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -17,8 +17,10 @@
 {
     for (const auto &each : plan) {
         std::cout << "  " << each.at.count() << " ms, for " << each.span.count() << " ms: " << each.what->name();
-        for (const auto &host : each.what->hosts()) {
-            std::cout << ' ' << host;
+        for (const auto &names : {each.what->hosts(), each.what->upstreams()}) {
+            for (const auto &name : names) {
+                std::cout << ' ' << name;
+            }
         }
         std::cout << '\n';
     }
@@ -50,7 +52,7 @@
     constexpr std::size_t shownOfEach = 5;
     for (const auto &found : findings) {
         if (++counts[found.invariant] <= shownOfEach) {
-            std::cout << "  " << found.invariant << ": " << found.what << '\n';
+            std::cout << "  " << found.invariant << ": " << found.what << '\n' << environment.logsOf(found.request);
         }
     }
     if (!findings.empty()) {
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -18,6 +18,24 @@
     m_requests.with(stableHash(run.id), [&](auto &all) { all[run.id].runs.push_back(run); });
 }
 
+void recorder::recordExecutionEnd(const std::string &id, const std::string &instance, steady_time at)
+{
+    m_requests.with(stableHash(id), [&](auto &all) {
+        for (auto &run : all[id].runs) {
+            if (run.instance == instance && run.endedAt == steady_time::max()) {
+                run.endedAt = at;
+                return;
+            }
+        }
+    });
+}
+
+void recorder::recordSignal(planned_signal seen)
+{
+    const std::lock_guard guard(m_lock);
+    m_others.signals.push_back(std::move(seen));
+}
+
 void recorder::recordFaultInterval(fault_interval seen)
 {
     const std::lock_guard guard(m_lock);
--- a/soak/record.h
+++ b/soak/record.h
@@ -13,6 +13,16 @@
 namespace hornbeampick::soak
 {
 
+/// How a request ended for its client.
+enum class request_end {
+    answered,
+    // No connection could be established, or it broke before the whole request was written.
+    notSent,
+    // The connection ended without a complete answer to a request that was written in full.
+    closed,
+    timedOut,
+};
+
 /// One request as observed by its client.
 struct client_observation {
     std::string id;
@@ -24,7 +34,10 @@
     milliseconds deadline {0};
     // 0 if no complete answer arrived.
     unsigned status = 0;
-    std::string body;
+    std::string body {};
+    // The connection had carried a request before.
+    bool onKeptConnection = false;
+    request_end end = request_end::answered;
 };
 
 /// The start of a request's execution at an upstream.
@@ -33,6 +46,8 @@
     std::string instance;
     std::size_t entry = 0;
     steady_time at {};
+    // Time at which the upstream finished its work; steady_time::max() while it is at work.
+    steady_time endedAt = steady_time::max();
 };
 
 /// A request as observed by its client and the upstreams.
@@ -41,11 +56,20 @@
     std::vector<upstream_execution> runs;
 };
 
-/// An interval in which a fault affected a host or its links.
+/// An interval in which a fault affected a host, an upstream, or their links.
 struct fault_interval {
     std::string host;
     steady_time from {};
     steady_time to {};
+    // A stop that operators asked for, up to the next start.
+    bool planned = false;
+};
+
+/// A signal by which operators asked a host for a planned stop or a reload.
+struct planned_signal {
+    std::string host;
+    steady_time at {};
+    bool stops = false;
 };
 
 /// An acknowledged deregistration of an upstream. `until` is the time at which the upstream registered again.
@@ -86,12 +110,15 @@
     std::uint64_t version = 0;
     // Hosts that did not exit within the grace period of a planned stop.
     std::vector<std::string> notStopped;
+    // Hosts whose process ended though nobody stopped or killed it, with its exit code or the number of the signal.
+    std::vector<std::string> endedByThemselves;
 };
 
 /// All observations of one run.
 struct soak_record {
     std::vector<request_observation> requests;
     std::vector<fault_interval> faultIntervals;
+    std::vector<planned_signal> signals;
     std::vector<deregistration> deregistrations;
     std::vector<routes_accepted> accepted;
     std::vector<routes_read> reads;
@@ -105,7 +132,9 @@
 public:
     void recordClient(client_observation observation);
     void recordExecution(upstream_execution run);
+    void recordExecutionEnd(const std::string &id, const std::string &instance, steady_time at);
     void recordFaultInterval(fault_interval seen);
+    void recordSignal(planned_signal seen);
     void recordDeregistration(deregistration seen);
     void recordAccepted(routes_accepted seen);
     void recordRead(routes_read seen);
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds sleepStep {20};
 constexpr int finalRequestsPerEntryHost = 20;
 constexpr unsigned slotsPerUpstream = 8;
+// Long, so that a draining host takes requests until late in its grace period.
+constexpr milliseconds lookupLifetime {2000};
 constexpr steady_time never = steady_time::max();
 
 steady_time now()
@@ -33,6 +35,14 @@
     return std::chrono::steady_clock::now();
 }
 
+// The requests whose ids begin like this run long.
+constexpr const char *patientIdPrefix = "k";
+
+const client_pattern busyClient {.idPrefix = "q", .pause = {milliseconds(10), milliseconds(70)}, .deadline = {milliseconds(300), milliseconds(2000)}};
+// Uses its connection rarely enough to use it for the first time after a signal at any moment of a drain.
+const client_pattern patientClient {
+    .idPrefix = patientIdPrefix, .pause = {milliseconds(300), milliseconds(3000)}, .deadline = {milliseconds(1000), milliseconds(4000)}};
+
 std::uint64_t versionIn(const std::string &routes)
 {
     const std::string mark = "\"version\":\"r";
@@ -40,6 +50,16 @@
     return at == std::string::npos ? 0 : std::stoull(routes.substr(at + mark.size()));
 }
 
+// Returns how long an upstream works on a request.
+milliseconds runTimeOf(const std::string &id)
+{
+    constexpr std::uint64_t minMilliseconds = 10;
+    constexpr std::uint64_t maxMilliseconds = 3000;
+    constexpr std::uint64_t maxShortMilliseconds = 45;
+    const auto longest = id.starts_with(patientIdPrefix) ? maxMilliseconds : maxShortMilliseconds;
+    return milliseconds(static_cast<std::int64_t>(minMilliseconds + stableHash(id) % (longest - minMilliseconds)));
+}
+
 // Entry host and request id, parsed from a target such as "/once/e2/id".
 struct parsed_target {
     std::size_t entry = 0;
@@ -64,7 +84,11 @@
 
 soak_environment::soak_environment(const environment_options &options)
     : m_options(options)
-    , m_fleet({.controlHosts = options.controlHosts, .entryHosts = options.entryHosts, .proxies = true, .preload = options.faultLibrary})
+    , m_fleet({.controlHosts = options.controlHosts,
+               .entryHosts = options.entryHosts,
+               .proxies = true,
+               .preload = options.faultLibrary,
+               .lookupLifetime = lookupLifetime})
 {
     for (std::size_t i = 0; i < options.upstreams; ++i) {
         auto made = std::make_unique<upstream>();
@@ -72,6 +96,7 @@
         made->domain = testing::node_fleet::domainOf(i);
         made->link = std::make_unique<testing::fault_proxy>("127.0.0.1:1");
         startServer(*made);
+        m_upstreamLinks[made->instance] = made->link.get();
         m_upstreams[made->instance] = std::move(made);
     }
 }
@@ -121,8 +146,10 @@
         return true;
     });
     for (std::size_t entry = 0; entry < m_options.entryHosts; ++entry) {
-        for (std::size_t i = 0; i < m_options.clientsPerEntryHost; ++i) {
-            m_threads.emplace_back([this, entry, i] { runClient(entry, m_options.seed * 1000 + entry * 100 + i); });
+        const auto clients = m_options.clientsPerEntryHost + m_options.patientClientsPerEntryHost;
+        for (std::size_t i = 0; i < clients; ++i) {
+            const auto &pattern = i < m_options.clientsPerEntryHost ? busyClient : patientClient;
+            m_threads.emplace_back([this, entry, i, &pattern] { runClient(entry, pattern, m_options.seed * 1000 + entry * 100 + i); });
         }
     }
     m_threads.emplace_back([this] { runOperator(); });
@@ -146,6 +173,7 @@
     std::map<const planned_fault *, steady_time> begunAt;
     const auto startedAt = now();
     for (const auto &each : steps) {
+        followStops(startedAt + each.at);
         std::this_thread::sleep_until(startedAt + each.at);
         auto &fault = *each.which->what;
         if (each.begins) {
@@ -154,15 +182,26 @@
             continue;
         }
         fault.heal(*this);
-        for (const auto &host : fault.hosts()) {
-            m_recorder.recordFaultInterval({.host = host, .from = begunAt[each.which], .to = now()});
+        auto affected = fault.hosts();
+        std::ranges::copy(fault.upstreams(), std::back_inserter(affected));
+        for (const auto &name : affected) {
+            m_recorder.recordFaultInterval({.host = name, .from = begunAt[each.which], .to = now(), .planned = fault.isPlanned()});
         }
     }
     m_routesFrozen = true;
+    followStops(never);
     sleepFor(recoveryTime);
     recordFinalChecks();
 }
 
+void soak_environment::followStops(steady_time until)
+{
+    while (!m_stops.empty() && now() < until) {
+        restartStopped();
+        std::this_thread::sleep_for(std::min<steady_time::duration>(sleepStep, until - now()));
+    }
+}
+
 soak_record soak_environment::seen() const
 {
     return m_recorder.take();
@@ -173,6 +212,11 @@
     return m_fleet.logs();
 }
 
+std::string soak_environment::logsOf(const std::string &request) const
+{
+    return request.empty() ? std::string {} : m_fleet.logLinesWith('"' + request + '"');
+}
+
 void soak_environment::recordFinalChecks()
 {
     final_state end;
@@ -189,6 +233,14 @@
         end.version = std::max(end.version, versionIn(callHttp(m_fleet.control(i), "GET", "/-/Config.Get").body));
     }
     end.notStopped = m_notStopped;
+    const auto names = targets();
+    for (const auto &hosts : {names.controlHosts, names.entryHosts}) {
+        for (const auto &host : hosts) {
+            if (!m_fleet.isRunning(host)) {
+                end.endedByThemselves.push_back(host + " (" + std::to_string(m_fleet.awaitExit(host)) + ")");
+            }
+        }
+    }
     m_recorder.recordFinalState(std::move(end));
 }
 
@@ -243,21 +295,27 @@
     }
 }
 
-void soak_environment::runClient(std::size_t entry, std::uint64_t seed)
+void soak_environment::runClient(std::size_t entry, const client_pattern &pattern, std::uint64_t seed)
 {
     std::mt19937_64 draw(seed);
+    const auto drawTime = [&draw](const time_range &range) {
+        const auto spread = static_cast<std::uint64_t>((range.max - range.min).count()) + 1;
+        return range.min + milliseconds(static_cast<std::int64_t>(draw() % spread));
+    };
     entry_client client(m_fleet.front(entry));
     while (!m_stopping) {
-        client_observation observation {.id = "q" + std::to_string(++m_nextId), .entry = entry, .runOnce = draw() % 2 == 0};
-        observation.deadline = milliseconds(300 + static_cast<std::int64_t>(draw() % 1700));
+        client_observation observation {.id = pattern.idPrefix + std::to_string(++m_nextId), .entry = entry, .runOnce = draw() % 2 == 0};
+        observation.deadline = drawTime(pattern.deadline);
         const std::string target = (observation.runOnce ? "/once/e" : "/retry/e") + std::to_string(entry) + "/" + observation.id;
         observation.requestedAt = now();
         auto answer = client.send(target, observation.id, observation.deadline);
         observation.endedAt = now();
         observation.status = answer.status;
         observation.body = std::move(answer.body);
+        observation.onKeptConnection = answer.onKeptConnection;
+        observation.end = answer.end;
         m_recorder.recordClient(std::move(observation));
-        sleepFor(milliseconds(10 + static_cast<std::int64_t>(draw() % 60)));
+        sleepFor(drawTime(pattern.pause));
     }
 }
 
@@ -281,7 +339,11 @@
             }
             sleepFor(milliseconds(100 + static_cast<std::int64_t>(draw() % 300)));
         }
-        if (sleepFor(probeDelay) && latest.version > 0) {
+        const auto probeAt = now() + probeDelay;
+        while (m_changesRequested == 0 && now() < probeAt && sleepFor(sleepStep)) { }
+        if (m_changesRequested > 0) {
+            --m_changesRequested;
+        } else if (!m_stopping && latest.version > 0) {
             probeRoutes(latest.version);
         }
     }
@@ -329,14 +391,29 @@
     }
     const auto parsed = parseTarget(request);
     m_recorder.recordExecution({.id = parsed.id, .instance = instance, .entry = parsed.entry, .at = now()});
-    std::this_thread::sleep_for(milliseconds(5 + static_cast<std::int64_t>(stableHash(parsed.id) % 40)));
+    const bool complete = work(self, runTimeOf(parsed.id));
+    m_recorder.recordExecutionEnd(parsed.id, instance, now());
     --self.running;
+    if (!complete) {
+        return false;
+    }
     scripted_upstream::write(to, scripted_upstream::answer(request, "for " + parsed.id));
     return true;
 }
 
+bool soak_environment::work(const upstream &each, milliseconds time)
+{
+    const auto life = each.life.load();
+    const auto until = now() + time;
+    while (!m_stopping && each.life == life && now() < until) {
+        std::this_thread::sleep_for(std::min<steady_time::duration>(sleepStep, until - now()));
+    }
+    return each.life == life;
+}
+
 void soak_environment::startServer(upstream &each)
 {
+    ++each.life;
     each.server = std::make_unique<scripted_upstream>(
         [this, instance = each.instance](const received_request &request, scripted_upstream::socket &to) { return serveRequest(instance, request, to); });
     each.link->setTarget(each.server->address());
--- a/soak/soak_environment_faults.cpp
+++ b/soak/soak_environment_faults.cpp
@@ -15,7 +15,6 @@
 
 // The users' stop grace period of 6 s, plus time to observe the exit.
 constexpr milliseconds stopTimeout {7000};
-constexpr milliseconds exitPollInterval {20};
 constexpr steady_time never = steady_time::max();
 
 steady_time now()
@@ -34,8 +33,8 @@
 
 testing::fault_proxy &soak_environment::linkTo(const std::string &name)
 {
-    const auto found = m_upstreams.find(name);
-    return found != m_upstreams.end() ? *found->second->link : m_fleet.proxyOf(std::stoul(name.substr(name.find('-') + 1)));
+    const auto found = m_upstreamLinks.find(name);
+    return found != m_upstreamLinks.end() ? *found->second : m_fleet.proxyOf(std::stoul(name.substr(name.find('-') + 1)));
 }
 
 void soak_environment::kill(const std::string &host)
@@ -43,45 +42,75 @@
     if (m_fleet.isRunning(host)) {
         m_fleet.kill(host);
     }
-    m_stopRequestedAt.erase(host);
+    m_stops.erase(host);
 }
 
 void soak_environment::start(const std::string &host)
 {
-    if (const auto asked = m_stopRequestedAt.find(host); asked != m_stopRequestedAt.end()) {
-        const auto latest = asked->second + stopTimeout;
-        while (m_fleet.isRunning(host) && now() < latest) {
-            std::this_thread::sleep_for(exitPollInterval);
+    if (const auto stop = m_stops.find(host); stop != m_stops.end()) {
+        --stop->second.open;
+        return;
+    }
+    m_fleet.start(host);
+}
+
+void soak_environment::restartStopped()
+{
+    std::erase_if(m_stops, [this](const auto &entry) {
+        const auto &[host, stop] = entry;
+        const bool running = m_fleet.isRunning(host);
+        if (stop.open > 0 || (running && now() < stop.exitUntil)) {
+            return false;
         }
-        if (m_fleet.isRunning(host)) {
+        if (running) {
             m_notStopped.push_back(host);
+            m_fleet.kill(host);
         }
-        m_stopRequestedAt.erase(asked);
-    }
-    m_fleet.start(host);
+        m_fleet.start(host);
+        m_recorder.recordFaultInterval({.host = host, .from = stop.requestedAt, .to = now(), .planned = true});
+        return true;
+    });
 }
 
 void soak_environment::pause(const std::string &host)
 {
     m_fleet.signal(host, SIGSTOP);
+    if (const auto stop = m_stops.find(host); stop != m_stops.end()) {
+        stop->second.exitUntil = never;
+    }
 }
 
 void soak_environment::resume(const std::string &host)
 {
     m_fleet.signal(host, SIGCONT);
+    if (const auto stop = m_stops.find(host); stop != m_stops.end()) {
+        stop->second.exitUntil = now() + stopTimeout;
+    }
 }
 
 void soak_environment::stop(const std::string &host)
 {
-    m_stopRequestedAt[host] = now();
+    const auto at = now();
+    // A second request during a stop changes nothing for the host.
+    const auto [stop, isFirst] = m_stops.try_emplace(host, stop_in_progress {.requestedAt = at, .exitUntil = at + stopTimeout});
+    ++stop->second.open;
+    if (isFirst) {
+        m_recorder.recordSignal({.host = host, .at = at, .stops = true});
+    }
     m_fleet.signal(host, SIGTERM);
 }
 
 void soak_environment::reload(const std::string &host)
 {
+    m_recorder.recordSignal({.host = host, .at = now()});
     m_fleet.signal(host, SIGHUP);
 }
 
+void soak_environment::changeRoutes()
+{
+    ++m_changesRequested;
+}
+
 void soak_environment::emptyDisk(const std::string &host)
 {
     m_fleet.removeData(host);
@@ -131,6 +160,7 @@
     const std::lock_guard guard(m_lock);
     auto &each = *m_upstreams.at(upstream);
     each.crashed = true;
+    ++each.life;
     each.server->close();
     each.link->resetAll();
 }
--- a/tests/fakes/node_fleet.cpp
+++ b/tests/fakes/node_fleet.cpp
@@ -378,6 +378,18 @@
     return logOf(name).find(text) != std::string::npos;
 }
 
+std::string node_fleet::logLinesWith(const std::string &text) const
+{
+    std::string found;
+    for (const auto &[name, running] : m_hosts) {
+        std::istringstream lines(logOf(name));
+        for (std::string line; std::getline(lines, line);) {
+            found += line.find(text) != std::string::npos ? line + '\n' : std::string {};
+        }
+    }
+    return found;
+}
+
 std::string node_fleet::logs() const
 {
     std::string all;
--- a/tests/fakes/node_fleet.h
+++ b/tests/fakes/node_fleet.h
@@ -78,6 +78,8 @@
     [[nodiscard]] static std::string regionOf(std::size_t host);
     /// Returns true if the host's log contains `text`.
     [[nodiscard]] bool hasLogged(const std::string &name, const std::string &text) const;
+    /// Returns the lines of all logs that contain `text`.
+    [[nodiscard]] std::string logLinesWith(const std::string &text) const;
     /// Returns the last 3000 bytes of every host's log.
     [[nodiscard]] std::string logs() const;
 
--- a/tests/soak/invariant_test.cpp
+++ b/tests/soak/invariant_test.cpp
@@ -102,6 +102,85 @@
     record = healthyRecord();
     record.end.notStopped.emplace_back("entry-1");
     REQUIRE(firstFinding(record) == "recovers");
+    record = healthyRecord();
+    record.end.endedByThemselves.emplace_back("control-1 (1)");
+    REQUIRE(firstFinding(record) == "recovers");
+}
+
+namespace
+{
+
+// A request sent on a kept connection two seconds after SIGTERM whose connection ended, without an answer, with the process.
+soak_record brokenOffRecord()
+{
+    auto record = healthyRecord();
+    record.requests.push_back({.client = {.id = "k",
+                                          .requestedAt = start + seconds(2),
+                                          .endedAt = start + milliseconds(4500),
+                                          .deadline = seconds(4),
+                                          .onKeptConnection = true,
+                                          .end = request_end::closed},
+                               .runs = {{.id = "k", .instance = "u1", .at = start + seconds(2), .endedAt = start + milliseconds(4900)}}});
+    record.signals.push_back({.host = "entry-0", .at = start, .stops = true});
+    return record;
+}
+
+} // namespace
+
+TEST_CASE("soak: a request that a stopping or reloading host breaks off is found", "[soak]")
+{
+    auto record = brokenOffRecord();
+    REQUIRE(firstFinding(record) == "kept-through-signals");
+    // A request sent before the signal is kept as well.
+    record.requests[1].client.requestedAt = start - milliseconds(500);
+    record.requests[1].client.endedAt = start + seconds(1);
+    REQUIRE(firstFinding(record) == "kept-through-signals");
+    record.signals[0].stops = false;
+    REQUIRE(firstFinding(record) == "kept-through-signals");
+    // An error in place of the answer, too.
+    record = brokenOffRecord();
+    record.requests[1].client.status = 504;
+    record.requests[1].client.end = request_end::answered;
+    REQUIRE(firstFinding(record) == "kept-through-signals");
+    // Work that begins late is to be refused, however long it takes.
+    record = brokenOffRecord();
+    record.requests[1].client.requestedAt = start + milliseconds(3200);
+    record.requests[1].client.endedAt = start + milliseconds(5400);
+    record.requests[1].runs[0].endedAt = start + seconds(6);
+    REQUIRE(firstFinding(record) == "kept-through-signals");
+}
+
+TEST_CASE("soak: a request that ends around a stop for another reason is not found", "[soak]")
+{
+    auto record = brokenOffRecord();
+    record.requests[1].runs.clear();
+    REQUIRE(firstFinding(record).empty());
+    // The upstream is at work until late in the grace period.
+    record = brokenOffRecord();
+    record.requests[1].client.requestedAt = start + milliseconds(2900);
+    record.requests[1].client.endedAt = start + milliseconds(5400);
+    record.requests[1].runs[0].endedAt = start + milliseconds(5500);
+    REQUIRE(firstFinding(record).empty());
+    record = brokenOffRecord();
+    record.requests[1].client.deadline = seconds(2);
+    REQUIRE(firstFinding(record).empty());
+    // The upstream answered with an error.
+    record = brokenOffRecord();
+    record.requests[1].client.status = 500;
+    record.requests[1].runs[0].endedAt = start + seconds(4);
+    REQUIRE(firstFinding(record).empty());
+    record = brokenOffRecord();
+    record.signals[0].host = "entry-1";
+    REQUIRE(firstFinding(record).empty());
+    const std::string disturbed = GENERATE("entry-0", "u1");
+    record = brokenOffRecord();
+    record.faultIntervals.push_back({.host = disturbed, .from = start - seconds(5), .to = start - seconds(1)});
+    REQUIRE(firstFinding(record).empty());
+    record.faultIntervals[0].planned = true;
+    REQUIRE(firstFinding(record) == "kept-through-signals");
+    record.faultIntervals[0].planned = false;
+    record.faultIntervals[0].to = start - seconds(2);
+    REQUIRE(firstFinding(record) == "kept-through-signals");
 }
 
 namespace
@@ -139,6 +218,9 @@
     void reload(const std::string & /*host*/) override
     {
     }
+    void changeRoutes() override
+    {
+    }
     void emptyDisk(const std::string & /*host*/) override
     {
     }
