soak: entry hosts that lose their new connections to all upstreams

A kind of fault that the soak lacked: for 2 to 6 s an entry host's new connections to upstreams are refused while its open ones go on. It is drawn from an engine of its own, so that the other faults of a seed stay as they were. The invariant serves-through-others finds a host that, from 3 s after the loss on and with no other entry host disturbed, serves under 0.6 of ten requests or more. Evidence: a record written by hand, good and bad.

--- a/soak/fault.cpp
+++ b/soak/fault.cpp
@@ -281,6 +281,15 @@
     return makeFault({"address-reuse", {}, swap, swap, {targets.upstreams[first], targets.upstreams[second]}});
 }
 
+std::shared_ptr<fault> upstreamsLost(random_draw &draw, const fault_targets &targets)
+{
+    const auto host = draw.pick(targets.entryHosts);
+    return makeFault({"upstreams-lost",
+                      {host},
+                      [host](fault_injector &injector) { injector.loseUpstreams(host, true); },
+                      [host](fault_injector &injector) { injector.loseUpstreams(host, false); }});
+}
+
 std::shared_ptr<fault> massKill(random_draw &draw, const fault_targets &targets)
 {
     switch (draw.below(3)) {
@@ -307,8 +316,10 @@
                       [host](fault_injector &injector) { injector.start(host); }});
 }
 
-// Salt of the seed from which series of planned work are drawn, so that they leave the other faults of a seed as they are.
+// Salts of the seeds from which series of planned work and losses of all upstreams are drawn, so that they leave the other faults of a
+// seed as they are.
 constexpr std::uint64_t seriesSalt = 0x5e71e5;
+constexpr std::uint64_t lostUpstreamsSalt = 0x105705;
 // Time around the loss of a disk in which no other control host may be disturbed, so that no further copies are lost with it.
 constexpr milliseconds diskLossMargin {6000};
 
@@ -331,6 +342,25 @@
     });
 }
 
+// Adds times at which an entry host reaches no upstream on new connections.
+void addLostUpstreams(std::vector<planned_fault> &plan, const fault_targets &targets, const fault_plan_options &options)
+{
+    random_draw draw {std::mt19937_64(options.seed ^ lostUpstreamsSalt)};
+    milliseconds at {0};
+    while (true) {
+        at += draw.between(options.lostUpstreamsGap / 4, options.lostUpstreamsGap * 7 / 4);
+        if (at >= options.length) {
+            return;
+        }
+        planned_fault next {.at = at, .span = draw.between(milliseconds(2000), milliseconds(6000))};
+        next.what = upstreamsLost(draw, targets);
+        next.span = std::min(next.span, options.length - next.at);
+        if (!conflictsWith(plan, next)) {
+            plan.push_back(std::move(next));
+        }
+    }
+}
+
 // Adds series of planned work whose steps overlap.
 void addSeries(std::vector<planned_fault> &plan, const fault_targets &targets, const fault_plan_options &options)
 {
@@ -391,6 +421,7 @@
         plan.push_back(std::move(next));
     }
     addSeries(plan, targets, options);
+    addLostUpstreams(plan, targets, options);
     return plan;
 }
 
--- a/soak/fault.h
+++ b/soak/fault.h
@@ -34,6 +34,9 @@
     /// Sets the offset of the host's wall clock; 0 restores it.
     virtual void stepClock(const std::string &host, milliseconds ahead) = 0;
 
+    /// Makes a host's new connections to all upstreams fail while its open ones go on, or ends this.
+    virtual void loseUpstreams(const std::string &host, bool lost) = 0;
+
     // Faults of the links from all other hosts to a control host, or from all hosts to an upstream.
     virtual void cutLink(const std::string &to, bool fromClient, bool toClient) = 0;
     virtual void silenceLink(const std::string &to, bool silent) = 0;
@@ -87,10 +90,13 @@
     // Mean interval between series of planned work, and the interval between the steps of one.
     milliseconds seriesGap {5000};
     milliseconds stepGap {400};
+    // Mean interval between times at which an entry host loses its new connections to all upstreams.
+    milliseconds lostUpstreamsGap {12000};
 };
 
 /// Generates a plan of faults that may overlap in time; a given seed always gives the same plan. No two faults affect the same host at
-/// the same time. Series of planned stops, reloads and changes of the routes are mixed in, drawn apart from the other faults.
+/// the same time. Series of planned stops, reloads and changes of the routes are mixed in, drawn apart from the other faults, and
+/// so are times at which an entry host reaches no upstream on new connections.
 std::vector<planned_fault> planFaults(const fault_targets &targets, const fault_plan_options &options);
 
 } // namespace hornbeampick::soak
--- a/soak/invariant.cpp
+++ b/soak/invariant.cpp
@@ -175,6 +175,48 @@
     }
 };
 
+class serves_through_others final : public invariant
+{
+public:
+    [[nodiscard]] std::string_view name() const override
+    {
+        return "serves-through-others";
+    }
+
+    [[nodiscard]] std::vector<finding> check(const soak_record &seen, const invariant_bounds &bounds) const override
+    {
+        std::vector<finding> found;
+        for (const auto &loss : seen.losses) {
+            std::size_t asked = 0;
+            std::size_t served = 0;
+            for (const auto &request : seen.requests) {
+                const auto &client = request.client;
+                const bool inTime = client.requestedAt >= loss.from + bounds.contact && client.endedAt <= loss.to;
+                if (client.entry == loss.entry && inTime && !isOtherwiseDisturbed(seen, loss, client, bounds)) {
+                    ++asked;
+                    served += client.status == answered ? 1 : 0;
+                }
+            }
+            if (asked >= bounds.minRequestsToJudge && static_cast<double>(served) < bounds.servedWithoutUpstreams * static_cast<double>(asked)) {
+                found.push_back({.invariant = std::string(name()),
+                                 .what = entryName(loss.entry) + " serves " + std::to_string(served) + " of " + std::to_string(asked)
+                                     + " requests while it reaches no upstream"});
+            }
+        }
+        return found;
+    }
+
+private:
+    // Returns true if another fault than the loss affects an entry host around the request. Single control hosts and upstreams may fail.
+    static bool isOtherwiseDisturbed(const soak_record &seen, const upstreams_lost &loss, const client_observation &client, const invariant_bounds &bounds)
+    {
+        return std::ranges::any_of(seen.faultIntervals, [&](const fault_interval &each) {
+            const bool isLoss = each.host == entryName(loss.entry) && each.from >= loss.from && each.to <= loss.to + bounds.stopSlack;
+            return !isLoss && each.host.starts_with("entry-") && each.from <= client.endedAt && each.to + bounds.contact >= client.requestedAt;
+        });
+    }
+};
+
 class left_alone final : public invariant
 {
 public:
@@ -308,6 +350,7 @@
     all.push_back(std::make_unique<true_refusal>());
     all.push_back(std::make_unique<answers_in_time>());
     all.push_back(std::make_unique<kept_through_signals>());
+    all.push_back(std::make_unique<serves_through_others>());
     all.push_back(std::make_unique<left_alone>());
     all.push_back(std::make_unique<routes_in_force>());
     all.push_back(std::make_unique<fresh_reads>());
--- a/soak/invariant.h
+++ b/soak/invariant.h
@@ -28,6 +28,10 @@
     milliseconds contact {3000};
     // Timeout of the routes that the soak submits.
     milliseconds routeTimeout {3000};
+    // Minimum fraction of the requests that an entry host without a path to upstreams serves through others, and the number of requests
+    // from which on it is checked.
+    double servedWithoutUpstreams = 0.6;
+    std::size_t minRequestsToJudge = 10;
     // Minimum fraction of the final requests that must be served.
     double servedAtEnd = 0.25;
 };
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -36,6 +36,12 @@
     m_others.signals.push_back(std::move(seen));
 }
 
+void recorder::recordLoss(upstreams_lost seen)
+{
+    const std::lock_guard guard(m_lock);
+    m_others.losses.push_back(seen);
+}
+
 void recorder::recordFaultInterval(fault_interval seen)
 {
     const std::lock_guard guard(m_lock);
--- a/soak/record.h
+++ b/soak/record.h
@@ -65,6 +65,13 @@
     bool planned = false;
 };
 
+/// An interval in which new connections of an entry host to upstreams failed.
+struct upstreams_lost {
+    std::size_t entry = 0;
+    steady_time from {};
+    steady_time to {};
+};
+
 /// A signal by which operators asked a host for a planned stop or a reload.
 struct planned_signal {
     std::string host;
@@ -119,6 +126,7 @@
     std::vector<request_observation> requests;
     std::vector<fault_interval> faultIntervals;
     std::vector<planned_signal> signals;
+    std::vector<upstreams_lost> losses;
     std::vector<deregistration> deregistrations;
     std::vector<routes_accepted> accepted;
     std::vector<routes_read> reads;
@@ -135,6 +143,7 @@
     void recordExecutionEnd(const std::string &id, const std::string &instance, steady_time at);
     void recordFaultInterval(fault_interval seen);
     void recordSignal(planned_signal seen);
+    void recordLoss(upstreams_lost seen);
     void recordDeregistration(deregistration seen);
     void recordAccepted(routes_accepted seen);
     void recordRead(routes_read seen);
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -72,6 +72,7 @@
     void slowDisk(const std::string &host, milliseconds delay) override;
     void fillDisk(const std::string &host, bool full) override;
     void stepClock(const std::string &host, milliseconds ahead) override;
+    void loseUpstreams(const std::string &host, bool lost) override;
     void cutLink(const std::string &to, bool fromClient, bool toClient) override;
     void silenceLink(const std::string &to, bool silent) override;
     void delayLink(const std::string &to, milliseconds time) override;
@@ -135,6 +136,7 @@
     // Links by the upstream that owned them first; addresses may be swapped.
     std::map<std::string, testing::fault_proxy *> m_upstreamLinks;
     std::map<std::string, stop_in_progress> m_stops;
+    std::map<std::string, steady_time> m_upstreamsLostAt;
     // Hosts that did not exit within the grace period of a planned stop.
     std::vector<std::string> m_notStopped;
     std::atomic<bool> m_stopping {false};
--- a/soak/soak_environment_faults.cpp
+++ b/soak/soak_environment_faults.cpp
@@ -131,6 +131,16 @@
     writeFault(m_fleet.faultFileOf(host), offsetof(fault_block, clockAheadMs), ahead.count());
 }
 
+void soak_environment::loseUpstreams(const std::string &host, bool lost)
+{
+    writeFault(m_fleet.faultFileOf(host), offsetof(fault_block, upstreamsUnreachable), lost ? 1 : 0);
+    if (lost) {
+        m_upstreamsLostAt[host] = now();
+    } else {
+        m_recorder.recordLoss({.entry = std::stoul(host.substr(host.find('-') + 1)), .from = m_upstreamsLostAt.at(host), .to = now()});
+    }
+}
+
 void soak_environment::cutLink(const std::string &to, bool fromClient, bool toClient)
 {
     const std::lock_guard guard(m_lock);
--- a/tests/soak/invariant_test.cpp
+++ b/tests/soak/invariant_test.cpp
@@ -150,6 +150,31 @@
     REQUIRE(firstFinding(record) == "kept-through-signals");
 }
 
+TEST_CASE("soak: a host that reaches no upstream and serves too little through others is found", "[soak]")
+{
+    auto record = healthyRecord();
+    record.losses.push_back({.entry = 1, .from = start, .to = start + seconds(6)});
+    record.faultIntervals.push_back({.host = "entry-1", .from = start, .to = start + seconds(6)});
+    for (int i = 0; i < 20; ++i) {
+        const auto id = "l" + std::to_string(i);
+        client_observation client {
+            .id = id, .entry = 1, .requestedAt = start + seconds(4), .endedAt = start + seconds(5), .deadline = seconds(2), .status = 503};
+        if (i % 2 == 0) {
+            client.status = 200;
+            client.body = "for " + id;
+        }
+        record.requests.push_back({.client = client});
+    }
+    REQUIRE(firstFinding(record) == "serves-through-others");
+    // The other host may be down.
+    record.faultIntervals.push_back({.host = "entry-0", .from = start - seconds(1), .to = start + seconds(2)});
+    REQUIRE(firstFinding(record).empty());
+    record.faultIntervals.pop_back();
+    // Right after the loss the host may still try.
+    record.losses[0].from = start + seconds(2);
+    REQUIRE(firstFinding(record).empty());
+}
+
 TEST_CASE("soak: a request that ends around a stop for another reason is not found", "[soak]")
 {
     auto record = brokenOffRecord();
@@ -236,6 +261,10 @@
     {
         down["clock " + host] = ahead.count() != 0 ? 1 : 0;
     }
+    void loseUpstreams(const std::string &host, bool lost) override
+    {
+        down["lost " + host] = lost ? 1 : 0;
+    }
     void cutLink(const std::string &to, bool fromClient, bool toClient) override
     {
         down["cut " + to] = fromClient || toClient ? 1 : 0;
