--- a/src/steering/link_limiter.cpp
+++ b/src/steering/link_limiter.cpp
@@ -23,6 +23,8 @@
 constexpr double smoothingFactor = 0.1;
 // Fraction of the burst that requests of each priority leave to more urgent ones.
 constexpr std::array priorityReserves {0.0, 0.15, 0.3};
+// A single request is charged at most this fraction of the burst: a long response takes its time, and others pass beside it.
+constexpr double maxCostFraction = 0.25;
 constexpr milliseconds minRetryAfter {100};
 
 } // namespace
@@ -38,8 +40,8 @@
     if (m_bytesPerSecond <= 0) {
         return std::nullopt;
     }
-    const double cost = expectedOf(request.service);
     const double burst = burstSeconds * m_bytesPerSecond;
+    const double cost = std::min(expectedOf(request.service), maxCostFraction * burst);
     const double reserve = burst * priorityReserves.at(std::min<std::size_t>(request.priority, priorityReserves.size() - 1));
     const std::lock_guard guard(m_lock);
     if (m_refilledAt != steady_time {}) {
@@ -48,8 +50,6 @@
     }
     m_refilledAt = std::max(m_refilledAt, now);
     if (m_available <= reserve) {
-        // The rejected request has arrived, and its rejection goes out.
-        m_available = std::max(m_available - overheadBytes, -burst);
         const double waitMs = (reserve + cost - m_available) / m_bytesPerSecond * 1000;
         return std::max(minRetryAfter, milliseconds(static_cast<std::int64_t>(waitMs)));
     }
@@ -64,7 +64,8 @@
     }
     m_expected.with(stableHash(service.view()), [&](expected_bytes &all) {
         double &average = all.try_emplace(service, initialBytes).first->second;
-        average += smoothingFactor * (static_cast<double>(bytes) + overheadBytes - average);
+        const double cost = std::min(static_cast<double>(bytes) + overheadBytes, maxCostFraction * burstSeconds * m_bytesPerSecond);
+        average += smoothingFactor * (cost - average);
     });
 }
 
