steering: probes choose upstreams that may serve, and one refusal isolates nobody

Up to two eligible upstreams a domain are probed. While responses arrive, refusals count only from three upstreams on.

--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -145,7 +145,7 @@
     /// Records that an upstream reported how much longer it stays cold.
     void markCold(const service_name &service, const instance_name &instance, milliseconds left);
 
-    /// Returns the address of one upstream, chosen at random, in every failure domain.
+    /// Returns the addresses of up to two upstreams in every failure domain, chosen at random among those that may receive requests.
     [[nodiscard]] std::vector<std::string> probeTargets() const;
 
     /// Load of one service in the home region of this host.
--- a/include/steering/upstream_reachability.h
+++ b/include/steering/upstream_reachability.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 
 namespace hornbeampick
@@ -44,9 +45,10 @@
     [[nodiscard]] bool isSuspect(steady_time now) const;
     /// Records that a probe begins. Must not be called concurrently with itself or `onProbe`.
     void beginProbe();
-    /// Records the outcome of the probe. Returns true when this changes `isIsolated`. On an overloaded link a probe may get no answer in
-    /// time while responses still arrive; the host is not isolated then.
-    bool onProbe(probe_outcome outcome);
+    /// Records the outcome of a probe of `probed` upstreams. Returns true when this changes `isIsolated`. While responses still arrive, a
+    /// silent probe does not isolate the host, since an overloaded link delays it, nor does the refusal of very few upstreams, which may
+    /// have ended.
+    bool onProbe(probe_outcome outcome, std::size_t probed);
     /// Returns true while no upstream can be reached.
     [[nodiscard]] bool isIsolated() const
     {
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -226,13 +226,14 @@
             if (targets.empty()) {
                 continue;
             }
-            const auto probed = static_cast<std::int64_t>(targets.size());
+            const auto probed = targets.size();
             m_reachability.beginProbe();
             const auto outcome = co_await probeUpstreams(std::move(targets), probeTimeout);
-            if (m_reachability.onProbe(outcome)) {
+            if (m_reachability.onProbe(outcome, probed)) {
                 const bool isolated = m_reachability.isIsolated();
                 logEvent(isolated ? log_level::warning : log_level::info, isolated ? "upstreams-unreachable" : "upstreams-regained",
-                         {{"probed", probed}, {"refused", outcome == probe_outcome::refused}});
+                         {{"probed", static_cast<std::int64_t>(probed)}, {"refused", outcome == probe_outcome::refused}});
+                m_relayPeers.reset();
                 m_controlWatch.setIsolated(isolated);
             }
         }
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -561,26 +561,23 @@
 
 std::vector<std::string> dispatcher::probeTargets() const
 {
-    struct domain_choice {
-        std::string address;
-        std::uint64_t seen = 0;
-    };
-    std::map<domain_name, domain_choice> choices;
+    constexpr std::size_t maxTargetsPerDomain = 2;
+    std::map<domain_name, std::vector<std::string>> byDomain;
     m_records.forEach([&](const service_records &all) {
         for (const auto &[service, serviceRecord] : all) {
             for (const auto &[instance, each] : serviceRecord.trackedUpstreams) {
-                // Reservoir sampling: the n-th upstream of a domain replaces the choice with probability 1/n.
-                auto &choice = choices[each.report.domain];
-                if (m_random.below(++choice.seen) == 0) {
-                    choice.address = each.report.address;
+                if (!each.report.silent && !each.misdirected && !each.leaving && each.report.state != upstream_state::draining) {
+                    byDomain[each.report.domain].push_back(each.report.address);
                 }
             }
         }
     });
     std::vector<std::string> addresses;
-    addresses.reserve(choices.size());
-    for (const auto &[domain, choice] : choices) {
-        addresses.push_back(choice.address);
+    for (auto &[domain, candidates] : byDomain) {
+        for (std::size_t i = 0; i < std::min(candidates.size(), maxTargetsPerDomain); ++i) {
+            std::swap(candidates[i], candidates[i + m_random.below(candidates.size() - i)]);
+            addresses.push_back(candidates[i]);
+        }
     }
     return addresses;
 }
--- a/src/steering/upstream_reachability.cpp
+++ b/src/steering/upstream_reachability.cpp
@@ -3,6 +3,14 @@
 namespace hornbeampick
 {
 
+namespace
+{
+
+// Refusals by this many upstreams in a probe isolate the host although open connections go on.
+constexpr std::size_t minRefusals = 3;
+
+} // namespace
+
 upstream_reachability::upstream_reachability(const reachability_options &options)
     : m_options(options)
 {
@@ -42,10 +50,11 @@
     m_responsesBeforeProbe = m_responses;
 }
 
-bool upstream_reachability::onProbe(probe_outcome outcome)
+bool upstream_reachability::onProbe(probe_outcome outcome, std::size_t probed)
 {
     const bool hasResponses = m_responses != m_responsesBeforeProbe;
-    const bool isolated = outcome == probe_outcome::refused || (outcome == probe_outcome::silent && !hasResponses);
+    const bool isConclusive = !hasResponses || (outcome == probe_outcome::refused && probed >= minRefusals);
+    const bool isolated = outcome != probe_outcome::reached && isConclusive;
     if (!isolated) {
         onConnected();
     }
