fleet: isolated hosts spread over all peers, and begin anew after a cut

Found by a review: control hosts named the same 32 peers, in the order of their names, to every isolated host; and the limit that a peer's refusals had left held for ever.

--- a/include/fleet/entry_host_list.h
+++ b/include/fleet/entry_host_list.h
@@ -40,8 +40,9 @@
     /// left out unless they are the majority: then the other hosts could not bear the load of all callers, which isolated hosts
     /// spread over the fleet.
     [[nodiscard]] std::vector<std::string> addressesFor(const region_name &region, steady_time now) const;
-    /// Returns serving hosts that are not isolated, at most `limit`, those in `region` first.
-    [[nodiscard]] std::vector<relay_peer> relayPeersFor(const region_name &region, std::size_t limit, steady_time now) const;
+    /// Returns serving hosts that are not isolated, at most `limit`, those in the region of `watcher` first. Each watcher gets another
+    /// order, so that together they use all hosts.
+    [[nodiscard]] std::vector<relay_peer> relayPeersFor(const entry_host &watcher, std::size_t limit, steady_time now) const;
     /// Returns true when every required host has the announcements up to `position` and at least one host is present.
     [[nodiscard]] bool allCaughtUp(std::uint64_t position, required_hosts required, steady_time now) const;
     /// Returns the number of listed hosts, absent ones included.
--- a/include/steering/relay_peers.h
+++ b/include/steering/relay_peers.h
@@ -30,8 +30,10 @@
 enum class peer_outcome {
     // With an upstream's response.
     served,
-    // The peer refused it, or did not respond in time: it has more requests than it can serve.
+    // The peer refused it: it has more requests than it can serve.
     overloaded,
+    // No response in time, by the peer or by its upstream.
+    late,
     // The peer did not accept a connection.
     unreachable,
     // For a reason unrelated to the peer.
@@ -54,6 +56,8 @@
     /// Chooses a peer with room for one more request and counts the request as in progress there. Peers in the own region come first,
     /// and those that could not be reached lately last. Empty when no peer has room. Every result has to be passed to `release`.
     [[nodiscard]] std::optional<std::string> acquire(const peer_target &target, steady_time now);
+    /// Forgets the load of all peers, which may have changed since they were last used. Must be called when requests begin to be passed on.
+    void reset();
     void release(const std::string &address, const service_name &service, peer_outcome outcome, steady_time now);
 
 private:
@@ -65,6 +69,7 @@
         bool doubling = true;
         std::uint32_t refusalsInARow = 0;
         steady_time pausedUntil {};
+        steady_time decreasedAt {};
     };
     struct peer_state {
         steady_time unreachableUntil {};
@@ -72,6 +77,7 @@
     };
     using peer_states = std::map<std::string, peer_state>;
 
+    static void decrease(window &load, steady_time now);
     [[nodiscard]] static window &windowOf(peer_state &state, const service_name &service);
 
     region_name m_ownRegion;
--- a/src/fleet/entry_host_list.cpp
+++ b/src/fleet/entry_host_list.cpp
@@ -1,6 +1,9 @@
 #include "fleet/entry_host_list.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace hornbeampick
 {
@@ -49,7 +52,7 @@
     return addresses;
 }
 
-std::vector<relay_peer> entry_host_list::relayPeersFor(const region_name &region, std::size_t limit, steady_time now) const
+std::vector<relay_peer> entry_host_list::relayPeersFor(const entry_host &watcher, std::size_t limit, steady_time now) const
 {
     std::vector<relay_peer> peers;
     const std::lock_guard guard(m_lock);
@@ -58,7 +61,8 @@
             peers.push_back({.address = known.host.relayAddress, .region = known.host.region});
         }
     }
-    std::ranges::stable_partition(peers, [&](const relay_peer &each) { return each.region == region; });
+    const auto seed = stableHash(watcher.host.view());
+    std::ranges::sort(peers, {}, [&](const relay_peer &each) { return std::pair(each.region != watcher.region, stableHash(each.address, seed)); });
     peers.resize(std::min(peers.size(), limit));
     return peers;
 }
--- a/src/node/watch_server.cpp
+++ b/src/node/watch_server.cpp
@@ -128,7 +128,7 @@
         .deaths = m_announcements.deathsAfter(knownPosition),
     };
     if (query.watcher.isolated) {
-        answer.relayPeers = m_hosts.relayPeersFor(query.watcher.region, maxRelayPeers, m_clock.now());
+        answer.relayPeers = m_hosts.relayPeersFor(query.watcher, maxRelayPeers, m_clock.now());
     }
     const auto state = m_state.get();
     if (state && query.appliedIndex < state->appliedIndex) {
--- a/src/steering/relay_peers.cpp
+++ b/src/steering/relay_peers.cpp
@@ -77,14 +77,15 @@
             load.refusalsInARow = 0;
             break;
         case peer_outcome::overloaded:
-            load.doubling = false;
-            // Requests that were in progress when the limit was decreased tell nothing new.
             if (now >= load.pausedUntil) {
-                load.limit = std::max(load.limit * decreaseFactor, 1.0);
+                decrease(load, now);
                 load.pausedUntil = now + initialPause * (1U << std::min(load.refusalsInARow, maxPauseDoublings));
                 ++load.refusalsInARow;
             }
             break;
+        case peer_outcome::late:
+            decrease(load, now);
+            break;
         case peer_outcome::unreachable:
             state.unreachableUntil = now + unreachableTime;
             break;
@@ -94,6 +95,27 @@
     });
 }
 
+void relay_peers::decrease(window &load, steady_time now)
+{
+    load.doubling = false;
+    // Requests that were in progress when the limit was decreased tell nothing new.
+    if (load.decreasedAt == steady_time {} || now >= load.decreasedAt + initialPause) {
+        load.limit = std::max(load.limit * decreaseFactor, 1.0);
+        load.decreasedAt = now;
+    }
+}
+
+void relay_peers::reset()
+{
+    m_states.forEach([](peer_states &all) {
+        for (auto &[address, state] : all) {
+            for (auto &[service, load] : state.windows) {
+                load = window {.inFlight = load.inFlight, .limit = initialLimit};
+            }
+        }
+    });
+}
+
 relay_peers::window &relay_peers::windowOf(peer_state &state, const service_name &service)
 {
     return state.windows.try_emplace(service, window {.limit = initialLimit}).first->second;
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -287,8 +287,8 @@
     record("b", "north", true);
     REQUIRE(hosts.addressesFor(region_name("north"), clock.now()) == std::vector<std::string> {"a:80", "b:80", "c:80"});
     const std::vector<relay_peer> both {{.address = "c:90", .region = region_name("north")}, {.address = "d:90", .region = region_name("south")}};
-    REQUIRE(hosts.relayPeersFor(region_name("north"), 9, clock.now()) == both);
-    REQUIRE(hosts.relayPeersFor(region_name("south"), 1, clock.now()) == std::vector {both.back()});
+    REQUIRE(hosts.relayPeersFor(entryHost("a", "north"), 9, clock.now()) == both);
+    REQUIRE(hosts.relayPeersFor(entryHost("x", "south"), 1, clock.now()) == std::vector {both.back()});
 }
 
 TEST_CASE("entry hosts: a change is known to all once each present host has followed it", "[announcements]")
