relay: a host that loses its own links reports no upstream as dead

What callers could see: a cut that resets connections and refuses new ones looked like the death of every upstream with a request in progress; after three of them the content of a harmless request was quarantined on the whole fleet for two minutes, and its callers got 503. A broken connection and a refused one were enough. A death is reported only when another upstream can be reached, if any is known.

--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -5,6 +5,7 @@
 #include "message_head.h"
 #include "observe/log.h"
 #include "peer_fields.h"
+#include "relay/upstream_probe.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -94,7 +95,10 @@
     auto outcome = co_await exchange(context, grant);
     if (outcome.end == dispatch_outcome::broke) {
         m_connection.reset();
-        outcome.upstreamDied = co_await refusesConnections(grant.address);
+        const bool refuses = co_await refusesConnections(grant.address);
+        if (refuses) {
+            outcome.upstreamDied = co_await reachesAnotherThan(grant.address);
+        }
     }
     co_return outcome;
 }
@@ -368,6 +372,19 @@
     co_return failed == asio::error::connection_refused;
 }
 
+// Tells the death of one upstream from the loss of this host's links, which would make every request look like one that kills upstreams.
+// Returns true when no other upstream is known.
+asio::awaitable<bool> upstream_attempt::reachesAnotherThan(const std::string &address)
+{
+    auto others = m_parts.dispatch.probeTargets();
+    std::erase(others, address);
+    if (others.empty()) {
+        co_return true;
+    }
+    const auto outcome = co_await probeUpstreams(std::move(others), probeTimeout);
+    co_return outcome == probe_outcome::reached;
+}
+
 dispatch_outcome upstream_attempt::endOf(const error_code &error) const
 {
     return error == beast::error::timeout ? dispatch_outcome::timedOut : dispatch_outcome::broke;
--- a/src/relay/upstream_attempt.h
+++ b/src/relay/upstream_attempt.h
@@ -87,6 +87,7 @@
                              attempt_outcome &outcome);
     boost::asio::awaitable<bool> bufferBody(upstream_response &response, steady_time deadline);
     boost::asio::awaitable<bool> refusesConnections(const std::string &address);
+    boost::asio::awaitable<bool> reachesAnotherThan(const std::string &address);
     [[nodiscard]] dispatch_outcome endOf(const boost::system::error_code &error) const;
 
     relay_parts m_parts;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1137,6 +1137,37 @@
     REQUIRE(upstream.requests() + static_cast<std::size_t>(rejected) == 20);
 }
 
+TEST_CASE("relay: a host that loses all its upstreams at once reports none of them as dead", "[relay]")
+{
+    std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+    std::vector<scripted_upstream *> views;
+    std::atomic<bool> cut {false};
+    for (int i = 0; i < 4; ++i) {
+        upstreams.push_back(std::make_unique<scripted_upstream>([&](const received_request &request, scripted_upstream::socket &to) {
+            if (!cut) {
+                return echo(request, to);
+            }
+            // The cut: every upstream refuses new connections and the open ones end.
+            std::thread([&] {
+                for (auto &each : upstreams) {
+                    each->close();
+                }
+            }).join();
+            return false;
+        }));
+        views.push_back(upstreams.back().get());
+    }
+    relay_fixture fixture(views);
+    caller client(fixture);
+    for (int i = 0; i < 12; ++i) {
+        REQUIRE(client.exchange("GET", "/again/warm" + std::to_string(i)).result_int() == 200);
+    }
+    cut = true;
+    const auto first = client.exchange("GET", "/again/popular").result_int();
+    INFO("first " << first << " deaths " << fixture.deaths.count);
+    REQUIRE(fixture.deaths.count == 0);
+}
+
 TEST_CASE("relay: a request that upstreams die of goes to none after the third", "[relay]")
 {
     relay_fixture fixture;
