--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1143,15 +1143,19 @@
     std::vector<scripted_upstream *> views;
     std::atomic<bool> cut {false};
     for (int i = 0; i < 4; ++i) {
-        upstreams.push_back(std::make_unique<scripted_upstream>([&](const received_request &request, scripted_upstream::socket &to) {
+        upstreams.push_back(std::make_unique<scripted_upstream>([&, i](const received_request &request, scripted_upstream::socket &to) {
             if (!cut) {
                 return echo(request, to);
             }
-            // The cut: every upstream refuses new connections and the open ones end.
+            // The cut: every upstream refuses new connections and the open ones end. The one that serves the request ends last, so that no
+            // other can be reached any more when the relay notices.
             std::thread([&] {
-                for (auto &each : upstreams) {
-                    each->close();
+                for (std::size_t other = 0; other < upstreams.size(); ++other) {
+                    if (other != static_cast<std::size_t>(i)) {
+                        upstreams[other]->close();
+                    }
                 }
+                upstreams[static_cast<std::size_t>(i)]->close();
             }).join();
             return false;
         }));
