--- a/include/daemon/control_api.h
+++ b/include/daemon/control_api.h
@@ -9,11 +9,19 @@
 #include <boost/asio/awaitable.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hornbeampick
 {
 
+/// A caller's question which entry hosts to use.
+struct entry_query {
+    region_name region;
+    /// The hostname that the caller sends requests to; empty when it does not tell.
+    std::string_view hostname;
+};
+
 /// Addresses that a caller may connect to, and for how long it may cache them.
 struct entry_choice {
     std::vector<std::string> addresses;
@@ -37,8 +45,8 @@
     virtual boost::asio::awaitable<status> evacuate(evacuation_order order) = 0;
     /// Returns the newest routes, confirmed by a majority. Errors: notLeader, noQuorum, notReady when there are none yet.
     virtual boost::asio::awaitable<result<routing_table>> readRouting() = 0;
-    /// Chooses entry hosts for a caller in `region`; empty when none is known.
-    [[nodiscard]] virtual entry_choice chooseEntry(const region_name &region) const = 0;
+    /// Chooses entry hosts for a caller; empty when none is known.
+    [[nodiscard]] virtual entry_choice chooseEntry(const entry_query &query) const = 0;
     /// Returns the peer address of the leader of the log; empty when none is known or this host is the leader.
     [[nodiscard]] virtual std::optional<std::string> leaderAddress() const = 0;
 };
--- a/include/fleet/entry_host_list.h
+++ b/include/fleet/entry_host_list.h
@@ -27,6 +27,13 @@
     includingAbsent,
 };
 
+/// The entry hosts that a look-up names.
+struct entry_selection {
+    std::vector<std::string> addresses;
+    /// The region that was asked for has no serving host, and the addresses are those of other regions.
+    bool isOutsideRegion = false;
+};
+
 /// The entry hosts that watch this control host, each with the position up to which it has its announcements. Thread-safe.
 class entry_host_list
 {
@@ -36,10 +43,10 @@
     /// Records a watch query from `host`, which has the announcements up to `position`.
     void recordProgress(const entry_host &host, std::uint64_t position, steady_time now);
 
-    /// Returns the addresses of the serving hosts in `region`, or of all serving hosts when the region has none. Isolated hosts are
+    /// Selects the serving hosts in `region`, or of all serving hosts when the region has none. Isolated hosts are
     /// left out unless they are the majority: then the other hosts could not bear the load of all callers, which isolated hosts
     /// spread over the fleet.
-    [[nodiscard]] std::vector<std::string> addressesFor(const region_name &region, steady_time now) const;
+    [[nodiscard]] entry_selection select(const region_name &region, steady_time now) const;
     /// Returns serving hosts that are not isolated, at most `limit`, those in the region of `watcher` first. Each watcher gets another
     /// order, so that together they use all hosts.
     [[nodiscard]] std::vector<relay_peer> relayPeersFor(const entry_host &watcher, std::size_t limit, steady_time now) const;
--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -50,6 +50,8 @@
     instance_name instance;
     std::uint64_t incarnation = 0;
     std::string address;
+    // The region of the upstream, from its announced failure domain; empty when that is unknown.
+    region_name region {};
     steady_time grantedAt {};
     // The upstream had a free slot as far as known, so that the response time contains no queueing and is a valid sample of the
     // service time.
--- a/include/steering/relay_peers.h
+++ b/include/steering/relay_peers.h
@@ -55,7 +55,7 @@
     void set(std::vector<relay_peer> peers);
     /// Chooses a peer with room for one more request and counts the request as in progress there. Peers in the own region come first,
     /// and those that could not be reached lately last. Empty when no peer has room. Every result has to be passed to `release`.
-    [[nodiscard]] std::optional<std::string> acquire(const peer_target &target, steady_time now);
+    [[nodiscard]] std::optional<relay_peer> acquire(const peer_target &target, steady_time now);
     /// Forgets the load of all peers, which may have changed since they were last used. Must be called when requests begin to be passed on.
     void reset();
     void release(const std::string &address, const service_name &service, peer_outcome outcome, steady_time now);
--- a/src/fleet/entry_host_list.cpp
+++ b/src/fleet/entry_host_list.cpp
@@ -25,7 +25,7 @@
     known.lastQueryAt = now;
 }
 
-std::vector<std::string> entry_host_list::addressesFor(const region_name &region, steady_time now) const
+entry_selection entry_host_list::select(const region_name &region, steady_time now) const
 {
     std::vector<const entry_host *> all;
     std::vector<const entry_host *> inRegion;
@@ -44,12 +44,12 @@
     if (2 * isolated <= hosts.size()) {
         std::erase_if(hosts, [](const entry_host *each) { return each->isolated; });
     }
-    std::vector<std::string> addresses;
-    addresses.reserve(hosts.size());
+    entry_selection selection {.isOutsideRegion = inRegion.empty() && !all.empty()};
+    selection.addresses.reserve(hosts.size());
     for (const auto *each : hosts) {
-        addresses.push_back(each->address);
+        selection.addresses.push_back(each->address);
     }
-    return addresses;
+    return selection;
 }
 
 std::vector<relay_peer> entry_host_list::relayPeersFor(const entry_host &watcher, std::size_t limit, steady_time now) const
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -141,6 +141,7 @@
                      {{"instance", instance.string()},
                       {"service", report.service.string()},
                       {"address", report.address},
+                      {"failureDomain", report.domain.string()},
                       {"state", static_cast<std::int64_t>(state)},
                       {"warmupLeftMs", static_cast<std::int64_t>(report.warmupLeft.count())},
                       {"sequence", report.reportedAt}});
@@ -205,9 +206,19 @@
         co_return state->routing;
     }
 
-    [[nodiscard]] entry_choice chooseEntry(const region_name &region) const override
+    [[nodiscard]] entry_choice chooseEntry(const entry_query &query) const override
     {
-        return {.addresses = m_hosts.addressesFor(region, m_clock.now()), .lifetime = milliseconds(m_settings->deployment().lookup_ttl_ms())};
+        const auto now = m_clock.now();
+        auto selection = m_hosts.select(query.region, now);
+        if (selection.isOutsideRegion) {
+            logRateLimited(log_level::info, "look-up-outside-region",
+                           {{"region", printableName(query.region.view())},
+                            {"hostname", printableName(query.hostname)},
+                            {"named", static_cast<std::int64_t>(selection.addresses.size())},
+                            {"listedInRegion", static_cast<std::int64_t>(m_hosts.countIn(query.region))},
+                            {"sinceStartMs", static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(now - m_startedAt).count())}});
+        }
+        return {.addresses = std::move(selection.addresses), .lifetime = milliseconds(m_settings->deployment().lookup_ttl_ms())};
     }
 
     [[nodiscard]] std::optional<std::string> leaderAddress() const override
@@ -392,6 +403,7 @@
     asio::signal_set m_signals {m_context, SIGTERM, SIGINT, SIGHUP};
     system_clock_source m_clock;
     seeded_random_source m_random;
+    steady_time m_startedAt = m_clock.now();
     metrics m_counters;
     std::unique_ptr<control_client> m_peers;
     announcement_log m_announcements;
--- a/src/node/control_watch.cpp
+++ b/src/node/control_watch.cpp
@@ -4,6 +4,7 @@
 #include "node_common.h"
 #include "observe/log.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -175,8 +176,11 @@
         m_directory.setServices(table->serviceNames());
         m_parts.dispatch.setServices(table->services);
         m_parts.routes.set(std::make_shared<const route_index>(table));
+        const auto restricted = std::ranges::count_if(table->routes, [](const route &each) { return !each.allowedRegions.empty(); });
         logEvent(log_level::info, "routes-in-force",
-                 {{"version", static_cast<std::int64_t>(table->version)}, {"routes", static_cast<std::int64_t>(table->routes.size())}});
+                 {{"version", static_cast<std::int64_t>(table->version)},
+                  {"routes", static_cast<std::int64_t>(table->routes.size())},
+                  {"restricted", static_cast<std::int64_t>(restricted)}});
     }
     m_parts.dispatch.setEvacuated(state.evacuated);
 }
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -312,6 +312,7 @@
             co_return co_await sendLocalResponse(&context, {.status = 503, .error = refused->error, .retryAfter = refused->retryAfter, .refusal = *refused});
         }
         lastGrant = std::get<dispatch_grant>(verdict);
+        logRestricted("restricted-request-sent", context, lastGrant->region, lastGrant->address);
         if (isRetry) {
             m_parts.counters.countRetry(context.service);
         } else {
@@ -378,13 +379,14 @@
             }
             break;
         }
-        tried.push_back(*peer);
-        grant.address = *peer;
+        logRestricted("restricted-request-passed-on", context, peer->region, peer->address);
+        tried.push_back(peer->address);
+        grant.address = peer->address;
         grant.grantedAt = now;
         m_cancellableAttempt = context.matched->runOnce ? nullptr : &attempt;
         auto attemptOutcome = co_await attempt.runThroughPeer(context, grant);
         m_cancellableAttempt = nullptr;
-        m_parts.peers.release(*peer, context.service, toPeerOutcome(attemptOutcome.end), m_parts.clock.now());
+        m_parts.peers.release(peer->address, context.service, toPeerOutcome(attemptOutcome.end), m_parts.clock.now());
         if (attemptOutcome.end != dispatch_outcome::answered) {
             logFailure(context, grant, attemptOutcome);
         }
@@ -421,6 +423,29 @@
     return false;
 }
 
+// Logs where a request with allowed regions goes, with the versions of the routes that decided and that are in force by now.
+void relay_session::logRestricted(std::string_view event, const request_context &context, const region_name &region, std::string_view address) const
+{
+    const auto &allowed = context.matched->allowedRegions;
+    if (allowed.empty()) {
+        return;
+    }
+    std::string names;
+    for (const auto &each : allowed) {
+        names.append(names.empty() ? "" : ",").append(each.view());
+    }
+    const auto inForce = m_parts.routes.get();
+    logRateLimited(log_level::info, event,
+                   {{"request", context.id},
+                    {"route", context.matched->name},
+                    {"allowedRegions", names},
+                    {"region", region.string()},
+                    {"address", std::string(address)},
+                    {"fromEntryHost", m_origin == session_origin::entryHost},
+                    {"routesVersion", static_cast<std::int64_t>(context.routes->table().version)},
+                    {"versionInForce", static_cast<std::int64_t>(inForce ? inForce->table().version : 0)}});
+}
+
 void relay_session::logFailure(const request_context &context, const dispatch_grant &grant, const attempt_outcome &outcome) const
 {
     const auto now = m_parts.clock.now();
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace hornbeampick
 {
@@ -65,6 +66,7 @@
     [[nodiscard]] local_response matchRoute(request_context &context) const;
     [[nodiscard]] dispatch_result chooseUpstream(const request_context &context, steady_time now);
     [[nodiscard]] bool mayRetry(const request_context &context, const attempt_outcome &outcome);
+    void logRestricted(std::string_view event, const request_context &context, const region_name &region, std::string_view address) const;
     void logFailure(const request_context &context, const dispatch_grant &grant, const attempt_outcome &outcome) const;
     void reportDeath(const request_context &context, const dispatch_grant &grant);
 
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -358,6 +358,7 @@
         .instance = report.instance,
         .incarnation = report.incarnation,
         .address = report.address,
+        .region = chosen.upstream->region,
         .grantedAt = now,
         .hadFreeSlot = hadFreeSlot && !chosen.cold,
     };
--- a/src/steering/relay_peers.cpp
+++ b/src/steering/relay_peers.cpp
@@ -33,14 +33,14 @@
     m_peers.set(std::make_shared<const std::vector<relay_peer>>(std::move(peers)));
 }
 
-std::optional<std::string> relay_peers::acquire(const peer_target &target, steady_time now)
+std::optional<relay_peer> relay_peers::acquire(const peer_target &target, steady_time now)
 {
     const auto peers = m_peers.get();
     if (!peers) {
         return std::nullopt;
     }
     // By rank: own region, other regions, unreachable lately.
-    std::array<std::vector<const std::string *>, 3> ranked;
+    std::array<std::vector<const relay_peer *>, 3> ranked;
     for (const auto &each : *peers) {
         const bool isOwnRegion = each.region == m_ownRegion;
         const bool regionAllowed
@@ -52,7 +52,7 @@
             auto &state = all[each.address];
             const auto &load = windowOf(state, target.service);
             if (load.inFlight < load.limit && now >= load.pausedUntil) {
-                ranked.at(now < state.unreachableUntil ? 2 : (isOwnRegion ? 0 : 1)).push_back(&each.address);
+                ranked.at(now < state.unreachableUntil ? 2 : (isOwnRegion ? 0 : 1)).push_back(&each);
             }
         });
     }
@@ -61,7 +61,7 @@
         return std::nullopt;
     }
     const auto &chosen = *usable->at(m_random.below(usable->size()));
-    m_states.with(stableHash(chosen), [&](peer_states &all) { ++windowOf(all[chosen], target.service).inFlight; });
+    m_states.with(stableHash(chosen.address), [&](peer_states &all) { ++windowOf(all[chosen.address], target.service).inFlight; });
     return chosen;
 }
 
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -262,11 +262,11 @@
     entry_host_list hosts({.absentAfter = milliseconds(1500)});
     hosts.recordProgress(entryHost("a", "north"), 0, clock.now());
     hosts.recordProgress(entryHost("b", "south"), 0, clock.now());
-    REQUIRE(hosts.addressesFor(region_name("north"), clock.now()) == std::vector<std::string> {"a:80"});
+    REQUIRE(hosts.select(region_name("north"), clock.now()).addresses == std::vector<std::string> {"a:80"});
     hosts.recordProgress(entryHost("a", "north", false), 0, clock.now());
-    REQUIRE(hosts.addressesFor(region_name("north"), clock.now()) == std::vector<std::string> {"b:80"});
+    REQUIRE(hosts.select(region_name("north"), clock.now()).addresses == std::vector<std::string> {"b:80"});
     clock.advance(milliseconds(1600));
-    REQUIRE(hosts.addressesFor(region_name("north"), clock.now()).empty());
+    REQUIRE(hosts.select(region_name("north"), clock.now()).addresses.empty());
 }
 
 TEST_CASE("entry hosts: look-ups leave out isolated hosts, unless they are the majority", "[announcements]")
@@ -283,9 +283,9 @@
     record("b", "north", false);
     record("c", "north", false);
     record("d", "south", false);
-    REQUIRE(hosts.addressesFor(region_name("north"), clock.now()) == std::vector<std::string> {"b:80", "c:80"});
+    REQUIRE(hosts.select(region_name("north"), clock.now()).addresses == std::vector<std::string> {"b:80", "c:80"});
     record("b", "north", true);
-    REQUIRE(hosts.addressesFor(region_name("north"), clock.now()) == std::vector<std::string> {"a:80", "b:80", "c:80"});
+    REQUIRE(hosts.select(region_name("north"), clock.now()).addresses == std::vector<std::string> {"a:80", "b:80", "c:80"});
     const std::vector<relay_peer> both {{.address = "c:90", .region = region_name("north")}, {.address = "d:90", .region = region_name("south")}};
     REQUIRE(hosts.relayPeersFor(entryHost("a", "north"), 9, clock.now()) == both);
     REQUIRE(hosts.relayPeersFor(entryHost("x", "south"), 1, clock.now()) == std::vector {both.back()});
--- a/tests/platform/control_front_end_test.cpp
+++ b/tests/platform/control_front_end_test.cpp
@@ -43,7 +43,7 @@
     {
         co_return make_error_code(errc::notReady);
     }
-    [[nodiscard]] entry_choice chooseEntry(const region_name &) const override
+    [[nodiscard]] entry_choice chooseEntry(const entry_query &) const override
     {
         return {};
     }
--- a/tests/steering/relay_peers_test.cpp
+++ b/tests/steering/relay_peers_test.cpp
@@ -25,7 +25,8 @@
 
     std::string acquire(steady_time now = start, std::span<const std::string> tried = {}, std::span<const region_name> allowed = {})
     {
-        return peers.acquire({.service = service, .allowedRegions = allowed, .tried = tried}, now).value_or("");
+        const auto peer = peers.acquire({.service = service, .allowedRegions = allowed, .tried = tried}, now);
+        return peer ? peer->address : std::string();
     }
     void release(const std::string &address, peer_outcome outcome, steady_time now = start)
     {
