--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -124,6 +124,27 @@
     REQUIRE(log.changedAfter(left, clock.now()).empty());
 }
 
+// Routes that are restricted to regions trust the failure domain of a report.
+TEST_CASE("announcements: a report does not move an upstream to another failure domain", "[announcements][home]")
+{
+    manual_clock clock;
+    announcement_log log;
+    log.report(reportOf("a", 1, 5), clock.now());
+    auto moved = reportOf("a", 1, 6);
+    moved.domain = domain_name("e");
+    log.report(moved, clock.now());
+    REQUIRE(log.changedAfter(0, clock.now()).front().domain == domain_name("d"));
+    // Another control host may have accepted the odd report first.
+    upstream_directory directory;
+    directory.onReports("c1", 1, std::vector {reportOf("a", 1, 5)}, clock.now());
+    directory.onReports("c2", 1, std::vector {moved}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.domain == domain_name("d"));
+    // The next incarnation may run elsewhere.
+    moved.incarnation = 2;
+    directory.onReports("c2", 1, std::vector {moved}, clock.now());
+    REQUIRE(only(directory.upstreams(clock.now())).report.domain == domain_name("e"));
+}
+
 TEST_CASE("announcements: an upstream that falls silent is told as such, and again when it is back", "[announcements]")
 {
     manual_clock clock;
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -184,6 +184,22 @@
         return callHttp(fleet.directory(1), "GET", "/-/resolve?name=x&region=" + region).body.find(fleet.front(entry)) != std::string::npos;
     }
 
+    // Puts routes of the hostnames south and any, of which those of south are restricted to the region south.
+    bool putRestrictedRoutes(std::uint64_t version) const
+    {
+        const std::string body = R"({"version":"r)" + std::to_string(version)
+            + R"(","routes":{"columns":["name","hostname","path_prefix","route_type","timeout_ms","service","max_attempts","allowed_regions"],"rows":[)"
+            + R"(["s","south","/","idempotent",3000,"s",2,["south"]],["a","any","/","idempotent",3000,"s",2,[]]]},)"
+            + R"("services":{"columns":["name"],"rows":[["s"]]}})";
+        std::size_t turn = 0;
+        return awaitCondition([&] { return callHttp(fleet.control(turn++ % controlHosts), "POST", "/-/Config.Put", body).status == 200; });
+    }
+
+    unsigned sendTo(std::size_t entry, const std::string &hostname) const
+    {
+        return callHttp(fleet.front(entry), "GET", "/1", "", {{"Host", hostname}, {"Request-Id", "id"}, {"Deadline-Ms", "2000"}}).status;
+    }
+
     std::string readConfiguration() const
     {
         for (std::size_t host = 0; host < controlHosts; ++host) {
@@ -717,3 +733,39 @@
     REQUIRE(fixture.fleet.awaitExit("control-0") == 0);
     REQUIRE(std::chrono::steady_clock::now() - stoppedAt < std::chrono::seconds(3));
 }
+
+// A control host names hosts of other regions while it knows none of the caller's region.
+TEST_CASE("nodes: a look-up for a restricted hostname names no host outside the allowed regions", "[integration][nodes][home]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    REQUIRE(fixture.putRestrictedRoutes(6));
+    const auto lookUp = [&](const std::string &hostname, const std::string &region) {
+        return callHttp(fixture.fleet.directory(0), "GET", "/-/resolve?name=" + hostname + "&region=" + region).body;
+    };
+    const auto names = [&](const std::string &body, std::size_t entry) { return body.find(fixture.fleet.front(entry)) != std::string::npos; };
+    REQUIRE(awaitCondition([&] { return names(lookUp("south", "south"), 1) && names(lookUp("any", "north"), 0); }));
+    fixture.fleet.kill("entry-1");
+    REQUIRE(awaitCondition([&] { return names(lookUp("any", "south"), 0); }));
+    REQUIRE_FALSE(names(lookUp("south", "south"), 0));
+    // The caller's own region is no other region.
+    REQUIRE(names(lookUp("south", "north"), 0));
+}
+
+// The allowed regions may have changed since the entry host last heard of the routes.
+TEST_CASE("nodes: an entry host that hears no control host refuses restricted requests as not run", "[integration][nodes][home]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    REQUIRE(fixture.putRestrictedRoutes(6));
+    REQUIRE(awaitCondition([&] { return fixture.sendTo(0, "south") == 200 && fixture.sendTo(0, "any") == 200; }));
+    for (std::size_t host = 0; host < node_fixture::controlHosts; ++host) {
+        fixture.fleet.kill("control-" + std::to_string(host));
+    }
+    REQUIRE(awaitCondition([&] { return fixture.sendTo(0, "south") == 503; }));
+    REQUIRE(fixture.sendTo(0, "any") == 200);
+    for (std::size_t host = 0; host < node_fixture::controlHosts; ++host) {
+        fixture.fleet.start("control-" + std::to_string(host));
+    }
+    REQUIRE(awaitCondition([&] { return fixture.sendTo(0, "south") == 200; }));
+}
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1030,6 +1030,30 @@
     REQUIRE(broken.requests() + alsoBroken.requests() == 1);
 }
 
+// The routes may change while a request waits or after an upstream has refused it.
+TEST_CASE("relay: a retry keeps to the regions that the routes in force allow", "[relay][home]")
+{
+    published<route_index> *inForce = nullptr;
+    const auto refuseAndRestrict = [&](const received_request &request, scripted_upstream::socket &to) {
+        auto table = std::make_shared<routing_table>(inForce->get()->table());
+        ++table->version;
+        for (auto &each : table->routes) {
+            each.allowedRegions = {region_name("away")};
+        }
+        inForce->set(std::make_shared<const route_index>(table));
+        scripted_upstream::write(to, notRunResponse(request));
+        return true;
+    };
+    scripted_upstream first(refuseAndRestrict);
+    scripted_upstream second(refuseAndRestrict);
+    relay_fixture fixture({&first, &second});
+    inForce = &fixture.routes;
+    caller client(fixture);
+    const auto answer = client.exchange("GET", "/again/1");
+    REQUIRE(answer.result_int() == 503);
+    REQUIRE(first.requests() + second.requests() == 1);
+}
+
 TEST_CASE("relay: what one entry host may have run goes to no other", "[relay][peers]")
 {
     scripted_upstream broken([](const received_request &, scripted_upstream::socket &) { return false; });
--- a/tests/steering/relay_peers_test.cpp
+++ b/tests/steering/relay_peers_test.cpp
@@ -60,6 +60,16 @@
     REQUIRE(fixture.acquire(start, {}, both) == "away:1");
 }
 
+// A caller may come from another region, by a look-up that it got before it moved or while its own region had no host.
+TEST_CASE("relay_peers: a restricted request goes to no peer of the own region unless that is allowed", "[peers][home]")
+{
+    peers_fixture fixture;
+    const std::vector<region_name> onlyAway {away};
+    REQUIRE(fixture.acquire(start, {}, onlyAway) == "away:1");
+    const std::vector<std::string> tried {"away:1"};
+    REQUIRE(fixture.acquire(start, tried, onlyAway).empty());
+}
+
 // Isolated hosts together asked the few others so often that the refusals alone filled their links.
 TEST_CASE("relay_peers: a peer that refuses is asked ever less often, and fully again once it serves", "[peers]")
 {
