http: the client for upstreams skips interim responses

An upstream that sent "100 Continue" or "103 Early Hints" ahead of its response had the interim one taken for the final one: the attempt ended as answered, with an empty body, and the final response was never read. One that then ended within its head was taken for answered as well. The client read one message and looked at no status; the relay skips interim responses.

The client now reads on after a status below 200, as the relay does, and takes the connection for broken after 16 of them. Each has a parser of its own.

Evidence: the cases "after an interim response" of the truncated heads failed before in 4 of 12 sections (0 == 3: answered in place of broke) and pass now, as do the tests [truncated] and [interim], 11 test cases.

--- a/src/http/upstream_client.cpp
+++ b/src/http/upstream_client.cpp
@@ -39,6 +39,8 @@
     "host",       "expect",     "proxy-connection"};
 // Maximum size of a response header, of a chunk header with its extensions, and of the trailer fields.
 constexpr std::uint32_t maxResponseHeaderBytes = 16384;
+// Interim responses that are skipped before the connection counts as broken.
+constexpr int maxInterimResponses = 16;
 constexpr std::string_view outcomeHeader = "Hornbeampick-Outcome";
 
 bool isUnforwardedHeader(std::string_view name)
@@ -154,6 +156,7 @@
 
 private:
     using stream_pointer = std::unique_ptr<beast::tcp_stream>;
+    using parser_type = http::response_parser<http::string_body>;
 
     // Returns a pooled connection, or null when there is none. The stream runs on the caller's executor, so that its timers and the
     // request do not race.
@@ -228,19 +231,14 @@
             co_return result;
         }
         beast::flat_buffer buffer(maxResponseHeaderBytes);
-        http::response_parser<http::string_body> parser;
-        parser.header_limit(maxResponseHeaderBytes);
-        parser.body_limit(m_options.maxResponseBytes);
-        if (request.method == "HEAD") {
-            parser.skip(true);
-        }
-        const auto readError = co_await readMessage(stream, buffer, parser, message_part::whole, request.deadline);
+        std::optional<parser_type> parser;
+        const auto readError = co_await readFinalResponse(stream, buffer, parser, request);
         if (readError) {
             result.end = readError == beast::error::timeout ? attempt_status::timedOut : attempt_status::broke;
             co_return result;
         }
-        const bool reusable = parser.get().keep_alive() && buffer.size() == 0;
-        fillResult(result, parser.release());
+        const bool reusable = parser->get().keep_alive() && buffer.size() == 0;
+        fillResult(result, parser->release());
         // A faulty upstream may write a refusal once more, and nothing would tell the copy from the next response.
         if (reusable && result.end != attempt_status::shed) {
             stream.expires_never();
@@ -249,6 +247,26 @@
         co_return result;
     }
 
+    // Reads the response to `request` after any interim ones.
+    asio::awaitable<error_code> readFinalResponse(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::optional<parser_type> &parser,
+                                                  const proxied_request &request) const
+    {
+        for (int interimResponses = 0; interimResponses < maxInterimResponses; ++interimResponses) {
+            parser.emplace();
+            parser->header_limit(maxResponseHeaderBytes);
+            parser->body_limit(m_options.maxResponseBytes);
+            parser->skip(request.method == "HEAD");
+            const auto failed = co_await readMessage(stream, buffer, *parser, message_part::header, request.deadline);
+            if (failed) {
+                co_return failed;
+            }
+            if (parser->get().result_int() >= static_cast<unsigned>(http::status::ok)) {
+                co_return co_await readMessage(stream, buffer, *parser, message_part::whole, request.deadline);
+            }
+        }
+        co_return http::error::bad_status;
+    }
+
     static http::request<http::string_body> makeMessage(const std::string &address, const proxied_request &request)
     {
         http::request<http::string_body> message;
--- a/tests/http/truncated_head_test.cpp
+++ b/tests/http/truncated_head_test.cpp
@@ -101,7 +101,7 @@
 // A response that ended within its head was taken for a whole one with an empty body.
 TEST_CASE("upstream_client: a response that ends within its head breaks the attempt", "[http][truncated]")
 {
-    const auto moment = GENERATE(cut_moment::newConnection, cut_moment::keptConnection);
+    const auto moment = GENERATE(cut_moment::newConnection, cut_moment::keptConnection, cut_moment::afterInterim);
     const auto end = GENERATE(connection_end::closed, connection_end::reset);
     const auto method = GENERATE(as<std::string> {}, "GET", "HEAD");
     for (const auto &cut : cutResponseHeads(requestId, response_forms::all)) {
@@ -131,6 +131,38 @@
     }
 }
 
+// An interim response was taken for the final one, with an empty body, and the final one never read.
+TEST_CASE("upstream_client: the response that follows interim ones is the final one", "[http][interim]")
+{
+    const auto method = GENERATE(as<std::string> {}, "GET", "HEAD");
+    const auto interim = GENERATE(as<std::string> {}, "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+    const std::string body = method == "HEAD" ? "" : "mine";
+    scripted_upstream upstream([&](const received_request &request, scripted_upstream::socket &to) {
+        scripted_upstream::write(to, interim + interim + scripted_upstream::answer(request, body));
+        return true;
+    });
+    const auto client = makeUpstreamClient({});
+    for (std::size_t i = 0; i < 2; ++i) {
+        const auto result = sendOnce(*client, upstream.address(), method);
+        REQUIRE(result.end == attempt_status::answered);
+        REQUIRE(result.status == 200);
+        REQUIRE(result.body == body);
+    }
+    REQUIRE(upstream.connections() == 1);
+}
+
+TEST_CASE("upstream_client: interim responses without end break the attempt", "[http][interim]")
+{
+    scripted_upstream upstream([](const received_request &, scripted_upstream::socket &to) {
+        scripted_upstream::writeEndlessly(to, "", "HTTP/1.1 100 Continue\r\n\r\n", milliseconds(1));
+        return false;
+    });
+    const auto client = makeUpstreamClient({});
+    const auto startedAt = std::chrono::steady_clock::now();
+    REQUIRE(sendOnce(*client, upstream.address(), "GET").end == attempt_status::broke);
+    REQUIRE(std::chrono::steady_clock::now() - startedAt < milliseconds(1000));
+}
+
 TEST_CASE("http_server: a request that ends within its head or body is not run", "[http][truncated]")
 {
     const bool isKept = GENERATE(false, true);
