relay: the last answer on a connection is not cut by unread input

A caller that had sent its next request, or the rest of a body, when its last answer was written received only part of that answer: the relay closed the connection with input unread, which resets it and discards what the caller had not received yet. Every answer of a draining host ends its connection, so that planned stops showed it most.

Only answers of the relay itself were followed by a lingering close. The test failed before: of a body of 1,500,000 bytes the caller, which read 300 ms later, received 114,787. Now every complete answer that ends its connection is followed by one, for at most 200 ms as before.

--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -487,6 +487,7 @@
         framing.length = advertisedLength && !bodiless ? std::optional<std::uint64_t>(*advertisedLength) : std::nullopt;
     }
     const bool written = co_await write(makeCallerResponseHead(head.base(), framing, keepOpen), response.body);
+    m_lingerOnClose = written && !keepOpen;
     co_return written &&keepOpen;
 }
 
@@ -521,6 +522,7 @@
     }
     attempt.releaseConnection(std::move(response.connection), *response.parser, grant);
     const bool written = !framing.chunked || co_await write(lastChunk, {});
+    m_lingerOnClose = written && !keepOpen;
     co_return written &&keepOpen;
 }
 
