steering: a draining host refuses what usually outlives it

In the first half of the time to its end a stopping entry host took every request, also those of a service whose run time is known to be longer than what was left. They were passed on and cut at the end without an answer, among them requests that may not be repeated. The caller could have gone elsewhere at once.

drain_schedule now also asks for the usual run time of the service, which the dispatcher keeps already: beyond a deadline before the end, a request starts in the first half only if one and a half times that run time fits. Without a sample the first half alone decides, as before.

Tests failed before. At the relay: "HTTP/1.1 200" == "HTTP/1.1 503" for a run of 800 ms with 1 s left and a reserve of 200 ms, of which 1.5 times does not fit.

The usual run time is one per service: where long and short requests share one, the rare long one is still taken in the first half and cut.

--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -156,6 +156,8 @@
         double spilled = 0;
         std::uint32_t ejected = 0;
     };
+    /// Returns the usual time that requests of a service run for; 0 before the first sample.
+    [[nodiscard]] milliseconds usualServiceTime(const service_name &service) const;
     /// Returns the statistics of every service, for metrics.
     [[nodiscard]] std::vector<service_stats> serviceStats() const;
 
--- a/include/steering/drain_schedule.h
+++ b/include/steering/drain_schedule.h
@@ -12,6 +12,14 @@
     milliseconds lookupLifetime {1000};
 };
 
+/// When a request ends.
+struct request_times {
+    // The request has ended by then.
+    steady_time deadline {};
+    // How long requests of its service usually run; 0 when unknown.
+    milliseconds usualRunTime {0};
+};
+
 /// Decides until when a draining host accepts connections, which requests it still takes, and when it ends. A request that could
 /// outlive the host is refused while it has not run, so that its caller can send it elsewhere. Immutable.
 class drain_schedule
@@ -29,12 +37,9 @@
     {
         return m_acceptUntil;
     }
-    /// Returns true when an attempt may start at `now` for a request with this deadline: the request ends before the process does, or
-    /// has more than half of the time between the start of the drain and the end of the process to run.
-    [[nodiscard]] bool mayStart(steady_time now, steady_time deadline) const
-    {
-        return deadline <= m_lastDeadline || now < m_halftime;
-    }
+    /// Returns true when an attempt may start at `now`: its request ends before the process does, or has more than half of the time
+    /// between the start of the drain and the end of the process to run and is expected to end within it.
+    [[nodiscard]] bool mayStart(steady_time now, const request_times &request) const;
 
 private:
     steady_time m_end;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -239,6 +239,7 @@
         }
     }
     context.deadline = context.arrivedAt + std::min(metadata.callerTimeout.value_or(context.matched->timeout), context.matched->timeout);
+    context.usualRunTime = m_parts.dispatch.usualServiceTime(context.service);
     if (!mayStartAttempt(m_state.drain, context, context.arrivedAt)) {
         return {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter};
     }
--- a/src/relay/request_context.cpp
+++ b/src/relay/request_context.cpp
@@ -25,7 +25,7 @@
 bool mayStartAttempt(const published<drain_schedule> &drain, const request_context &context, steady_time now)
 {
     const auto schedule = drain.get();
-    return !schedule || schedule->mayStart(now, context.deadline);
+    return !schedule || schedule->mayStart(now, {.deadline = context.deadline, .usualRunTime = context.usualRunTime});
 }
 
 } // namespace hornbeampick
--- a/src/relay/request_context.h
+++ b/src/relay/request_context.h
@@ -32,6 +32,8 @@
     steady_time arrivedAt {};
     // The earlier of the caller's deadline and the route's timeout.
     steady_time deadline {};
+    // How long requests of the service usually ran when this one arrived; 0 when unknown.
+    milliseconds usualRunTime {0};
     // The body, or only its beginning while the parser is not done.
     std::string body;
     digest contentDigest;
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -582,6 +582,14 @@
     return addresses;
 }
 
+milliseconds dispatcher::usualServiceTime(const service_name &service) const
+{
+    return m_records.with(stableHash(service.view()), [&](const service_records &all) {
+        const auto found = all.find(service);
+        return milliseconds(found == all.end() ? 0 : static_cast<std::int64_t>(std::lround(found->second.serviceTimeMs)));
+    });
+}
+
 std::vector<dispatcher::service_stats> dispatcher::serviceStats() const
 {
     const auto now = m_clock.now();
--- a/src/steering/drain_schedule.cpp
+++ b/src/steering/drain_schedule.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds responseReserve {200};
 // Some callers cache look-ups for longer than their lifetime. New connections are accepted for this many lifetimes.
 constexpr int lookupLifetimesAccepted = 2;
+// Few requests run for longer than their usual run time by this factor.
+constexpr double longRunFactor = 1.5;
 
 } // namespace
 
@@ -25,4 +27,14 @@
 {
 }
 
+bool drain_schedule::mayStart(steady_time now, const request_times &request) const
+{
+    if (request.deadline <= m_lastDeadline) {
+        return true;
+    }
+    const auto longRunTime = std::chrono::duration_cast<milliseconds>(longRunFactor * request.usualRunTime);
+    const bool isExpectedToEnd = request.usualRunTime == milliseconds(0) || now + longRunTime <= m_lastDeadline;
+    return now < m_halftime && isExpectedToEnd;
+}
+
 } // namespace hornbeampick
--- a/tests/fakes/node_fleet.cpp
+++ b/tests/fakes/node_fleet.cpp
@@ -407,10 +407,11 @@
 
 bool node_fleet::putRoutes(std::uint64_t version, const std::string &prefix)
 {
+    const auto timeout = std::to_string(m_options.routeTimeout.count());
     const std::string body = R"({"version":"r)" + std::to_string(version)
         + R"(","routes":{"columns":["name","hostname","path_prefix","route_type","timeout_ms","target_latency_ms","priority","service","max_attempts"],"rows":[)"
-        + R"(["a","x","/again)" + prefix
-        + R"(/","idempotent",3000,400,1,"s",2],["r","x","/retry/","idempotent",3000,400,1,"s",2],["o","x","/once/","non_idempotent",3000,400,0,"s",2]]},)"
+        + R"(["a","x","/again)" + prefix + R"(/","idempotent",)" + timeout + R"(,400,1,"s",2],["r","x","/retry/","idempotent",)" + timeout
+        + R"(,400,1,"s",2],["o","x","/once/","non_idempotent",)" + timeout + R"(,400,0,"s",2]]},)"
         + R"("services":{"columns":["name","warmup_s","warmup_per_s"],"rows":[["s",1.0,20.0]]}})";
     std::size_t turn = 0;
     return awaitCondition([&] { return callHttp(control(turn++ % m_options.controlHosts), "POST", "/-/Config.Put", body).status == 200; });
--- a/tests/fakes/node_fleet.h
+++ b/tests/fakes/node_fleet.h
@@ -35,6 +35,8 @@
     std::string preload {};
     // Lifetime of callers' look-ups.
     std::chrono::milliseconds lookupLifetime {1000};
+    // Timeout of all routes.
+    std::chrono::milliseconds routeTimeout {3000};
 };
 
 /// Control and entry host processes, each on its own loopback address with the same ports, in two regions of two failure domains each.
--- a/tests/relay/drain_test.cpp
+++ b/tests/relay/drain_test.cpp
@@ -135,3 +135,39 @@
     REQUIRE(received.size() > body.size());
     REQUIRE(upstream.requests() == 1);
 }
+
+// A request of which it was known that it runs for longer than the host lives was taken in the first half of that time, and cut off.
+TEST_CASE("relay: a draining host refuses at once what usually runs for longer than it has left", "[relay][drain]")
+{
+    scripted_upstream upstream([](const received_request &request, scripted_upstream::socket &to) {
+        std::this_thread::sleep_for(milliseconds(800));
+        scripted_upstream::write(to, scripted_upstream::answer(request, "done"));
+        return true;
+    });
+    draining_relay relay(upstream);
+    raw_caller before(relay);
+    before.send(requestFor("/1"));
+    REQUIRE(before.read(1).substr(0, 12) == "HTTP/1.1 200");
+    relay.drain(milliseconds(800));
+    raw_caller late(relay);
+    late.send(requestFor("/2"));
+    REQUIRE(late.read().substr(0, 12) == "HTTP/1.1 503");
+    REQUIRE(upstream.requests() == 1);
+}
+
+TEST_CASE("relay: a draining host still takes what usually ends before it", "[relay][drain]")
+{
+    scripted_upstream upstream([](const received_request &request, scripted_upstream::socket &to) {
+        std::this_thread::sleep_for(milliseconds(300));
+        scripted_upstream::write(to, scripted_upstream::answer(request, "done"));
+        return true;
+    });
+    draining_relay relay(upstream);
+    raw_caller before(relay);
+    before.send(requestFor("/1"));
+    REQUIRE(before.read(1).substr(0, 12) == "HTTP/1.1 200");
+    relay.drain(milliseconds(700));
+    raw_caller late(relay);
+    late.send(requestFor("/2"));
+    REQUIRE(late.read().substr(0, 12) == "HTTP/1.1 200");
+}
--- a/tests/steering/drain_schedule_test.cpp
+++ b/tests/steering/drain_schedule_test.cpp
@@ -21,11 +21,11 @@
 TEST_CASE("drain_schedule: a request that could outlive the host is not taken in the second half of the time to its end", "[drain]")
 {
     const drain_schedule schedule({.grace = milliseconds(6000), .lookupLifetime = milliseconds(2000)}, start);
-    REQUIRE(schedule.mayStart(after(100), after(8000)));
-    REQUIRE(schedule.mayStart(after(2699), after(8000)));
-    REQUIRE_FALSE(schedule.mayStart(after(2700), after(8000)));
-    REQUIRE_FALSE(schedule.mayStart(after(3900), after(6900)));
-    REQUIRE(schedule.mayStart(after(3900), after(5000)));
+    REQUIRE(schedule.mayStart(after(100), {.deadline = after(8000)}));
+    REQUIRE(schedule.mayStart(after(2699), {.deadline = after(8000)}));
+    REQUIRE_FALSE(schedule.mayStart(after(2700), {.deadline = after(8000)}));
+    REQUIRE_FALSE(schedule.mayStart(after(3900), {.deadline = after(6900)}));
+    REQUIRE(schedule.mayStart(after(3900), {.deadline = after(5000)}));
     REQUIRE(schedule.acceptUntil() == after(4000));
     REQUIRE(schedule.end() == after(5400));
 }
@@ -41,15 +41,15 @@
     for (int sentAfter = 0; sentAfter < grace; sentAfter += 10) {
         const auto sentAt = after(sentAfter);
         CAPTURE(sentAfter);
-        REQUIRE(schedule.mayStart(sentAt, after(2 * grace)) == (sentAt < start + half));
+        REQUIRE(schedule.mayStart(sentAt, {.deadline = after(2 * grace)}) == (sentAt < start + half));
     }
 }
 
 TEST_CASE("drain_schedule: a response to the last deadline still leaves before the end", "[drain]")
 {
     const drain_schedule schedule({.grace = milliseconds(6000), .lookupLifetime = milliseconds(2000)}, start);
-    REQUIRE_FALSE(schedule.mayStart(after(3500), schedule.end()));
-    REQUIRE(schedule.mayStart(after(3500), schedule.end() - milliseconds(200)));
+    REQUIRE_FALSE(schedule.mayStart(after(3500), {.deadline = schedule.end()}));
+    REQUIRE(schedule.mayStart(after(3500), {.deadline = schedule.end() - milliseconds(200)}));
 }
 
 TEST_CASE("drain_schedule: a short grace period ends everything within it", "[drain]")
@@ -57,5 +57,19 @@
     const drain_schedule schedule({.grace = milliseconds(500), .lookupLifetime = milliseconds(2000)}, start);
     REQUIRE(schedule.end() == start);
     REQUIRE(schedule.acceptUntil() == start);
-    REQUIRE_FALSE(schedule.mayStart(start, after(10)));
+    REQUIRE_FALSE(schedule.mayStart(start, {.deadline = after(10)}));
+}
+
+// Requests of a service with long run times were taken in the first half, and cut off at the end.
+TEST_CASE("drain_schedule: a request that is expected to outlive the host is not taken", "[drain]")
+{
+    const drain_schedule schedule({.grace = milliseconds(6000), .lookupLifetime = milliseconds(2000)}, start);
+    const request_times lasting {.deadline = after(8000), .usualRunTime = milliseconds(2000)};
+    REQUIRE(schedule.mayStart(after(2200), lasting));
+    REQUIRE_FALSE(schedule.mayStart(after(2201), lasting));
+    REQUIRE_FALSE(schedule.mayStart(start, {.deadline = after(8000), .usualRunTime = milliseconds(4000)}));
+    // It ends in time whatever it runs for.
+    REQUIRE(schedule.mayStart(after(2201), {.deadline = after(5200), .usualRunTime = milliseconds(2000)}));
+    // A short run time does not make up for the second half.
+    REQUIRE_FALSE(schedule.mayStart(after(2700), {.deadline = after(8000), .usualRunTime = milliseconds(1)}));
 }
