steering: with a short grace period the host works until its last sixth

The time that a draining host leaves unused before it is killed was 600 ms whatever the grace period. Below 3.6 s it ended before the last sixth of that period and cut requests that operators expect to be answered; below 600 ms it took nothing at all. The reserve is now an eighth of the grace period, 600 ms at most, so that nothing changes from 4.8 s on.

--- a/src/steering/drain_schedule.cpp
+++ b/src/steering/drain_schedule.cpp
@@ -9,7 +9,9 @@
 {
 
 // Part of the grace period that the drain leaves unused, so that the process exits before it is killed.
-constexpr milliseconds exitReserve {600};
+constexpr milliseconds maxExitReserve {600};
+// The same as a divisor of a short grace period. Operators expect a host to work until the last sixth of it.
+constexpr int exitReserveDivisor = 8;
 // Time for the response to a request that ends at its deadline.
 constexpr milliseconds responseReserve {200};
 // Some callers cache look-ups for longer than their lifetime. New connections are accepted for this many lifetimes.
@@ -17,10 +19,15 @@
 // Few requests run for longer than their usual run time by this factor.
 constexpr double longRunFactor = 1.5;
 
+milliseconds exitReserveOf(milliseconds grace)
+{
+    return std::min(maxExitReserve, grace / exitReserveDivisor);
+}
+
 } // namespace
 
 drain_schedule::drain_schedule(const drain_options &options, steady_time startedAt)
-    : m_end(startedAt + std::max(options.grace - exitReserve, milliseconds(0)))
+    : m_end(startedAt + options.grace - exitReserveOf(options.grace))
     , m_acceptUntil(std::min(startedAt + lookupLifetimesAccepted * options.lookupLifetime, m_end))
     , m_halftime(startedAt + (m_end - startedAt) / 2)
     , m_lastDeadline(m_end - responseReserve)
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -862,7 +862,7 @@
     scripted_upstream upstream(echo);
     relay_fixture fixture({&upstream});
     caller client(fixture);
-    // The route's timeout is 3 s, and the host, whose drain began 1.3 s ago, ends in 0.7 s.
+    // The route's timeout is 3 s, and the host, whose drain began 1.3 s ago, ends in less than 1 s.
     fixture.server->beginDrain({{.grace = milliseconds(2600)}, fixture.clock.now() - milliseconds(1300)});
     const auto refused = client.exchange("POST", "/once/1", "", "x");
     REQUIRE(refused.result_int() == 503);
