relay: a draining host that reaches no upstream names its stop

Requests that a stopping host could not send to any upstream or through another entry host were refused as not run with Retry-After 0.5 s and the code of a host without upstreams, also when the drain itself was the reason that no other entry host was tried. Callers waited for half a second although another host could have taken the request at once.

While it drains, such a refusal is now the same as its others: code stopping, Retry-After 0.01 s. The test failed before: "Retry-After: 0.500" and code no-upstream in the answer.

--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -465,6 +465,9 @@
         co_return false;
     }
     if (!outcome.response) {
+        if (!context.mayHaveRun && m_state.drain.get()) {
+            co_return co_await sendLocalResponse(&context, {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter});
+        }
         if (!context.mayHaveRun) {
             const bool isFromPeer = outcome.grant.instance.empty();
             const auto retryAfter = isFromPeer ? outcome.retryAfter.value_or(notReadyRetryAfter) : notReadyRetryAfter;
--- a/tests/relay/drain_test.cpp
+++ b/tests/relay/drain_test.cpp
@@ -171,3 +171,20 @@
     late.send(requestFor("/2"));
     REQUIRE(late.read().substr(0, 12) == "HTTP/1.1 200");
 }
+
+// It named another reason than its stop, and a Retry-After of 500 ms although other hosts can take the request at once.
+TEST_CASE("relay: a draining host that reaches no upstream sends callers elsewhere at once", "[relay][drain]")
+{
+    scripted_upstream upstream([](const received_request &, scripted_upstream::socket &) { return false; });
+    draining_relay relay(upstream);
+    relay.reachability.beginProbe();
+    relay.reachability.onProbe(probe_outcome::refused, 3);
+    relay.drain(milliseconds(0));
+    raw_caller caller(relay);
+    caller.send(requestFor("/1"));
+    const auto answer = caller.read();
+    CAPTURE(answer);
+    REQUIRE(answer.substr(0, 12) == "HTTP/1.1 503");
+    REQUIRE(answer.find("Retry-After: 0.010\r\n") != std::string::npos);
+    REQUIRE(upstream.requests() == 0);
+}
