steering: late deadlines are taken for 2.7 s of a long drain at most

With a long grace period a draining host took requests whose deadline lies beyond its end in the whole first half, 14.7 s with 30 s of grace, and could cut them at the end. Operators excuse that only for requests that were sent within 3 s of the signal. Callers of later ones are better served by another host. The first half is now limited to 2.7 s, which is what it was with 6 s of grace; requests that end before the host does are taken as before.

--- a/include/steering/drain_schedule.h
+++ b/include/steering/drain_schedule.h
@@ -37,14 +37,15 @@
     {
         return m_acceptUntil;
     }
-    /// Returns true when an attempt may start at `now`: its request ends before the process does, or has more than half of the time
-    /// between the start of the drain and the end of the process to run and is expected to end within it.
+    /// Returns true when an attempt may start at `now`: its request ends before the process does, or the drain began shortly before, and
+    /// the request has more than half of the time between then and the end of the process to run and is expected to end within it.
     [[nodiscard]] bool mayStart(steady_time now, const request_times &request) const;
 
 private:
     steady_time m_end;
     steady_time m_acceptUntil;
-    steady_time m_halftime;
+    // Until then requests with later deadlines are taken.
+    steady_time m_lateDeadlinesUntil;
     // The latest deadline of which the response still reaches the caller.
     steady_time m_lastDeadline;
 };
--- a/src/steering/drain_schedule.cpp
+++ b/src/steering/drain_schedule.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds responseReserve {200};
 // Some callers cache look-ups for longer than their lifetime. New connections are accepted for this many lifetimes.
 constexpr int lookupLifetimesAccepted = 2;
+// Callers that send requests for longer than this after the start of a drain expect each one that is taken to be answered.
+constexpr milliseconds maxLateDeadlineTime {2700};
 // Few requests run for longer than their usual run time by this factor.
 constexpr double longRunFactor = 1.5;
 
@@ -29,7 +31,7 @@
 drain_schedule::drain_schedule(const drain_options &options, steady_time startedAt)
     : m_end(startedAt + options.grace - exitReserveOf(options.grace))
     , m_acceptUntil(std::min(startedAt + lookupLifetimesAccepted * options.lookupLifetime, m_end))
-    , m_halftime(startedAt + (m_end - startedAt) / 2)
+    , m_lateDeadlinesUntil(startedAt + std::min<steady_time::duration>((m_end - startedAt) / 2, maxLateDeadlineTime))
     , m_lastDeadline(m_end - responseReserve)
 {
 }
@@ -41,7 +43,7 @@
     }
     const auto longRunTime = std::chrono::duration_cast<milliseconds>(longRunFactor * request.usualRunTime);
     const bool isExpectedToEnd = request.usualRunTime == milliseconds(0) || now + longRunTime <= m_lastDeadline;
-    return now < m_halftime && isExpectedToEnd;
+    return now < m_lateDeadlinesUntil && isExpectedToEnd;
 }
 
 } // namespace hornbeampick
