--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -239,6 +239,7 @@
         }
     }
     context.deadline = context.arrivedAt + std::min(metadata.callerTimeout.value_or(context.matched->timeout), context.matched->timeout);
+    context.usualRunTime = m_parts.dispatch.usualServiceTime(context.service);
     if (!mayStartAttempt(m_state.drain, context, context.arrivedAt)) {
         return {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter};
     }
@@ -489,6 +490,9 @@
         co_return false;
     }
     if (!outcome.response) {
+        if (!context.mayHaveRun && m_state.drain.get()) {
+            co_return co_await sendLocalResponse(&context, {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter});
+        }
         if (!context.mayHaveRun) {
             const bool isFromPeer = outcome.grant.instance.empty();
             const auto retryAfter = isFromPeer ? outcome.retryAfter.value_or(notReadyRetryAfter) : notReadyRetryAfter;
@@ -512,6 +516,7 @@
         framing.length = advertisedLength && !bodiless ? std::optional<std::uint64_t>(*advertisedLength) : std::nullopt;
     }
     const bool written = co_await write(makeCallerResponseHead(head.base(), framing, keepOpen), response.body);
+    m_lingerOnClose = written && !keepOpen;
     co_return written &&keepOpen;
 }
 
@@ -546,6 +551,7 @@
     }
     attempt.releaseConnection(std::move(response.connection), *response.parser, grant);
     const bool written = !framing.chunked || co_await write(lastChunk, {});
+    m_lingerOnClose = written && !keepOpen;
     co_return written &&keepOpen;
 }
 
