replica: a voter whose disk was full takes part again by itself

A replica whose write failed stopped for good while its process ran, so that after a majority of such moments nothing was committed any more.

A failed write or sync now drops all that is in memory: core, formation and open submits, which are answered noQuorum since others may commit them. Every 250 ms the replica recovers from disk as after a crash: the records are loaded, the torn tail is cut, and all is saved again into new files before the replica sends anything. Loading alone does not do: after a failed sync, or a kill between write and sync, the page cache shows a record that is not stored, and a second sync of the same file may succeed without storing it. A start does the same. Term and vote are remembered only once they are saved. A replacement that fails removes its temporary file. A file that cannot be looked up no longer counts as missing. The version served does not decrease: the store keeps the commit index of its process, and a commit index that cannot be written counts as a failed disk (found by the new property: "applied version decreased on host 1"). EIO recovers in the same way; records of a newer release still stop the replica for good.

The fakes got stricter: a limited disk writes what fits, a sync that failed once never stores that file, and a started process gets a new store.

--- a/include/replica/replica_engine.h
+++ b/include/replica/replica_engine.h
@@ -33,8 +33,11 @@
     virtual void onLedger(const ledger_state &state) = 0;
     /// Stored records are damaged and are being set aside; the disk joins the log under a new identity.
     virtual void onRecordsDamaged(std::error_code why) = 0;
-    /// The disk failed, or its records have the format of a newer release; the replica stays stopped until the process restarts.
+    /// The disk failed, and the replica takes part in nothing until it can write to the disk again; or the records have the format of a newer
+    /// release (unsupportedFormat), and the replica stays stopped until the process restarts.
     virtual void onStopped(std::error_code why) = 0;
+    /// The replica has recovered its records after `onStopped`, and takes part in the log again.
+    virtual void onRecovered() = 0;
 };
 
 struct replica_node_options {
@@ -72,7 +75,8 @@
     replica_engine(replica_node_options options, replica_store &store, replica_transport &transport, ledger_listener &listener, clock_source &clock,
                    random_source &random, form_reply_handler formReplyHandler);
 
-    /// Recovers the replica from disk. Sets damaged records aside; an I/O error stops the replica.
+    /// Recovers the replica from disk. Sets damaged records aside. When the disk fails, here or later, the replica drops what it has in memory,
+    /// and `tick` recovers it from disk again, as after a crash.
     void load();
     void tick();
     void receive(const replica_message &message);
@@ -109,11 +113,13 @@
         submit_done done;
     };
 
+    result<replica_image> recoverDisk();
     result<replica_image> readDisk();
+    void publishCommitted(const replica_image &image);
     void startCoreIfFormed();
     void startCore(replica_image image);
     bool persist(const replica_output &output);
-    void apply(const replica_output &output);
+    bool apply(const replica_output &output);
     void compactIfNeeded();
     void stopOnStorageError(std::error_code why);
     void rejoinIfRemoved(steady_time now);
@@ -136,7 +142,13 @@
     // When a leader was last known, and when the next request to rejoin the log is due.
     steady_time m_leaderLastKnown {};
     steady_time m_nextRejoin {};
+    // True when the disk was empty at some time since the start of the process.
+    bool m_wasNewDisk = false;
     bool m_stopped = false;
+    // When the next recovery of a stopped replica is due; empty when it stays stopped.
+    std::optional<steady_time> m_nextRecovery;
+    // The configuration that was last known, also while the replica is stopped.
+    replica_config m_lastConfig;
 };
 
 } // namespace hornbeampick
--- a/include/replica/replica_types.h
+++ b/include/replica/replica_types.h
@@ -208,7 +208,7 @@
     candidate,
     leader,
     learner,
-    // The disk failed or its records cannot be used; the replica no longer participates.
+    // The disk failed or its records cannot be used; the replica does not participate, after a failure until the disk can be written again.
     stopped,
     // Without a configuration so far, or on a host without a replica.
     absent,
--- a/include/storage/file_system.h
+++ b/include/storage/file_system.h
@@ -27,6 +27,8 @@
     virtual status truncate(std::string_view name, std::size_t size) = 0;
     virtual status sync(std::string_view name) = 0;
     virtual status rename(std::string_view from, std::string_view to) = 0;
+    /// Removes the file; succeeds when it does not exist.
+    virtual status remove(std::string_view name) = 0;
     virtual status syncFolder() = 0;
 };
 
@@ -34,6 +36,7 @@
 result<std::unique_ptr<file_system>> makePosixFileSystem(const std::string &folder);
 
 /// Replaces the file `name` atomically and syncs it: after a crash it has either the old or the new content.
+/// After a failure it has either as well, and nothing else is left on the disk.
 status replaceFile(file_system &files, std::string_view name, std::string_view content);
 
 } // namespace hornbeampick
--- a/src/daemon/replica_link.cpp
+++ b/src/daemon/replica_link.cpp
@@ -36,6 +36,11 @@
     logEvent(log_level::error, "replica-stopped", {errorField(reason)});
 }
 
+void replica_link::onRecovered()
+{
+    logEvent(log_level::info, "replica-recovered");
+}
+
 void replica_link::setLeader(bool isLeader)
 {
     m_isLeader = isLeader;
--- a/src/daemon/replica_link.h
+++ b/src/daemon/replica_link.h
@@ -20,6 +20,7 @@
     void onLedger(const ledger_state &state) override;
     void onRecordsDamaged(std::error_code reason) override;
     void onStopped(std::error_code reason) override;
+    void onRecovered() override;
 
     /// Sets whether this replica is the leader; the leader starts the distribution of accepted states.
     void setLeader(bool isLeader);
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -262,6 +262,10 @@
     {
         logEvent(log_level::error, "replica-stopped", {errorField(cause)});
     }
+    void onRecovered() override
+    {
+        logEvent(log_level::info, "replica-recovered");
+    }
 
 private:
     replica_node_options replicaOptions() const
--- a/src/replica/replica_engine.cpp
+++ b/src/replica/replica_engine.cpp
@@ -12,8 +12,10 @@
 constexpr milliseconds formationRetryInterval {300};
 // A join request expires, and a voter counts as lost, after this long without contact.
 constexpr milliseconds memberTimeout {5000};
-// Wake-up interval of a stopped replica.
+// Wake-up interval of a replica that stays stopped.
 constexpr milliseconds idleWakeInterval {1000};
+// Interval between attempts to recover after a failure of the disk.
+constexpr milliseconds recoveryInterval {250};
 // A replica without a known leader for this long may have been removed from the configuration while it was down or unreachable.
 constexpr milliseconds rejoinDelay {3000};
 constexpr milliseconds rejoinInterval {1000};
@@ -40,32 +42,69 @@
 
 void replica_engine::load()
 {
-    auto image = readDisk();
+    auto image = recoverDisk();
     if (!image) {
         stopOnStorageError(image.error());
         return;
     }
     m_self = {.host = m_options.host, .disk = image.value().disk, .address = m_options.address};
     m_hardState = image.value().hardState;
-    const bool isNewDisk = m_self.disk == 0;
-    if (isNewDisk) {
-        m_self.disk = m_random.next() | 1U;
-        if (const auto saved = m_store.saveHardState(m_self.disk, m_hardState); !saved) {
-            stopOnStorageError(saved.error());
-            return;
-        }
-    }
+    m_nextRecovery.reset();
     if (image.value().formed()) {
         startCore(std::move(image.value()));
         processOutput();
-        // Published only after all entries known to be committed are applied, so that the version in force never decreases over a restart.
-        m_listener.onLedger(m_ledger.state());
+        if (m_core) {
+            // Published only after all entries known to be committed are applied, so that the version in force never decreases over a recovery.
+            m_listener.onLedger(m_ledger.state());
+        }
     } else {
         m_formation = std::make_unique<formation>(formation::options {.self = m_self,
                                                                       .bootstrapVoters = m_options.bootstrap,
                                                                       .retryInterval = formationRetryInterval,
-                                                                      .joinOnly = image.value().hasLostRecords || (isNewDisk && !m_options.mayBootstrap)});
+                                                                      .joinOnly = image.value().hasLostRecords || (m_wasNewDisk && !m_options.mayBootstrap)});
+    }
+    const bool participates = m_core || m_formation;
+    if (participates && std::exchange(m_stopped, false)) {
+        m_listener.onRecovered();
+    }
+}
+
+// Reads the records and saves them all again: what can be read need not be durable, and must not be acknowledged before it is.
+result<replica_image> replica_engine::recoverDisk()
+{
+    auto image = readDisk();
+    if (!image) {
+        return image;
+    }
+    auto &found = image.value();
+    if (found.disk == 0) {
+        m_wasNewDisk = true;
+        found.disk = m_random.next() | 1U;
+    }
+    auto saved = m_store.saveHardState(found.disk, found.hardState);
+    if (saved && found.formed()) {
+        saved = m_store.saveSnapshot(found.snapshot, found.entries);
+    }
+    if (!saved) {
+        publishCommitted(found);
+        return saved.error();
     }
+    return image;
+}
+
+// A host whose disk cannot be written still serves what was in force.
+void replica_engine::publishCommitted(const replica_image &image)
+{
+    if (!image.formed() || image.commit <= m_ledger.state().appliedIndex) {
+        return;
+    }
+    m_ledger = rule_ledger(image.snapshot.state);
+    for (const auto &entry : image.entries) {
+        if (entry.index <= image.commit) {
+            m_ledger.apply(entry);
+        }
+    }
+    m_listener.onLedger(m_ledger.state());
 }
 
 result<replica_image> replica_engine::readDisk()
@@ -84,6 +123,9 @@
 void replica_engine::tick()
 {
     const auto now = m_clock.now();
+    if (m_nextRecovery && now >= *m_nextRecovery) {
+        load();
+    }
     if (m_formation) {
         for (const auto &[address, request] : m_formation->tick(now)) {
             m_transport.form(address, request, m_formReplyHandler);
@@ -199,7 +241,9 @@
         for (const auto &message : output.messages) {
             m_transport.send(message);
         }
-        apply(output);
+        if (!apply(output)) {
+            return;
+        }
         m_core->markPersisted();
     }
     if (m_core) {
@@ -210,6 +254,7 @@
             failPendingSubmits();
         }
         m_lastRole = m_core->role();
+        m_lastConfig = m_core->config();
     }
 }
 
@@ -224,7 +269,7 @@
 replica_view replica_engine::view() const
 {
     if (m_stopped) {
-        return {.role = replica_role::stopped, .term = m_hardState.term, .leader = {}, .config = {}, .commit = 0};
+        return {.role = replica_role::stopped, .term = m_hardState.term, .leader = {}, .config = m_lastConfig, .commit = 0};
     }
     if (!m_core) {
         return {};
@@ -243,6 +288,9 @@
     if (m_core) {
         return m_core->nextDeadline();
     }
+    if (m_nextRecovery) {
+        return *m_nextRecovery;
+    }
     return m_clock.now() + (m_formation ? formationRetryInterval : idleWakeInterval);
 }
 
@@ -252,15 +300,16 @@
         return;
     }
     replica_snapshot first {.index = 1, .term = 1, .config = *m_formation->adoptedConfig(), .state = {}};
-    m_hardState = {.term = 1, .votedFor = 0};
+    const hard_state firstHardState {.term = 1, .votedFor = 0};
     if (const auto saved = m_store.saveSnapshot(first, {}); !saved) {
         stopOnStorageError(saved.error());
         return;
     }
-    if (const auto saved = m_store.saveHardState(m_self.disk, m_hardState); !saved) {
+    if (const auto saved = m_store.saveHardState(m_self.disk, firstHardState); !saved) {
         stopOnStorageError(saved.error());
         return;
     }
+    m_hardState = firstHardState;
     startCore({.disk = m_self.disk, .hardState = m_hardState, .snapshot = std::move(first), .entries = {}});
 }
 
@@ -279,11 +328,11 @@
 bool replica_engine::persist(const replica_output &output)
 {
     if (output.hardState) {
-        m_hardState = *output.hardState;
-        if (const auto saved = m_store.saveHardState(m_self.disk, m_hardState); !saved) {
+        if (const auto saved = m_store.saveHardState(m_self.disk, *output.hardState); !saved) {
             stopOnStorageError(saved.error());
             return false;
         }
+        m_hardState = *output.hardState;
     }
     if (output.snapshot) {
         if (const auto saved = m_store.saveSnapshot(*output.snapshot, {}); !saved) {
@@ -300,7 +349,7 @@
     return true;
 }
 
-void replica_engine::apply(const replica_output &output)
+bool replica_engine::apply(const replica_output &output)
 {
     if (output.snapshot) {
         m_ledger = rule_ledger(output.snapshot->state);
@@ -316,14 +365,21 @@
         }
         m_pendingSubmits.erase(first, last);
     }
+    status recorded = success();
     if (!output.committed.empty()) {
-        m_store.recordCommitIndex(output.committed.back().index);
+        recorded = m_store.recordCommitIndex(output.committed.back().index);
         m_listener.onLedger(m_ledger.state());
     }
     // Callbacks run after the listener has the new state: a client that was told of an acceptance must not read an older state from this host.
     for (const auto &[done, outcome] : completed) {
         done(outcome);
     }
+    if (!recorded) {
+        // The recovery records it with the log; otherwise a restart could begin from an older state than this one.
+        stopOnStorageError(recorded.error());
+        return false;
+    }
+    return true;
 }
 
 void replica_engine::compactIfNeeded()
@@ -344,13 +400,24 @@
     }
 }
 
+// Nothing in memory may outlast the failure: the records of the disk are recovered as after a crash. Records of a newer release are left as
+// they are.
 void replica_engine::stopOnStorageError(std::error_code why)
 {
     m_core.reset();
     m_formation.reset();
-    m_stopped = true;
+    m_lastRole = replica_role::stopped;
+    m_leaderLastKnown = {};
+    m_nextRecovery.reset();
+    const bool staysStopped = why == errc::unsupportedFormat;
+    if (!staysStopped) {
+        m_nextRecovery = m_clock.now() + recoveryInterval;
+    }
+    const bool wasStopped = std::exchange(m_stopped, true);
     failPendingSubmits();
-    m_listener.onStopped(why);
+    if (!wasStopped || staysStopped) {
+        m_listener.onStopped(why);
+    }
 }
 
 } // namespace hornbeampick
--- a/src/storage/file_system.cpp
+++ b/src/storage/file_system.cpp
@@ -82,7 +82,8 @@
 
     [[nodiscard]] bool exists(std::string_view name) const override
     {
-        return ::access(path(name).c_str(), F_OK) == 0;
+        // A file that cannot be looked up must not count as missing: a disk without records gets a new identity.
+        return ::access(path(name).c_str(), F_OK) == 0 || errno != ENOENT;
     }
 
     [[nodiscard]] result<std::string> read(std::string_view name) const override
@@ -139,6 +140,14 @@
         return success();
     }
 
+    status remove(std::string_view name) override
+    {
+        if (::unlink(path(name).c_str()) != 0 && errno != ENOENT) {
+            return lastError();
+        }
+        return success();
+    }
+
     status syncFolder() override
     {
         return syncPath(m_folder, O_RDONLY | O_DIRECTORY);
@@ -189,13 +198,16 @@
 status replaceFile(file_system &files, std::string_view name, std::string_view content)
 {
     const std::string temporary = std::string(name) + ".new";
-    if (auto outcome = files.write(temporary, content); !outcome) {
-        return outcome;
+    auto outcome = files.write(temporary, content);
+    if (outcome) {
+        outcome = files.sync(temporary);
     }
-    if (auto outcome = files.sync(temporary); !outcome) {
-        return outcome;
+    if (outcome) {
+        outcome = files.rename(temporary, name);
     }
-    if (auto outcome = files.rename(temporary, name); !outcome) {
+    if (!outcome) {
+        // On a full disk an unfinished file takes the room that other records need.
+        (void)files.remove(temporary);
         return outcome;
     }
     return files.syncFolder();
--- a/src/storage/replica_file_store.cpp
+++ b/src/storage/replica_file_store.cpp
@@ -58,17 +58,20 @@
             return outcome.error();
         }
         // The commit file is not synced and may be lost in a power failure; the log frames hold the commit index as of the last append.
-        image.commit = std::max(image.commit, loadCommitIndex());
+        // When it could not be written either, this process still knows the index.
+        image.commit = std::max({image.commit, loadCommitIndex(), m_commitIndex});
         if (image.commit > image.snapshot.index + image.entries.size()) {
             // An index is recorded as committed only after its entry was synced, so the tail of the log is damaged, not torn.
             return errc::corruptRecord;
         }
+        m_commitIndex = image.commit;
         image.hasLostRecords = std::ranges::any_of(recordFiles, [this](std::string_view name) { return m_files.exists(damagedName(name)); });
         return image;
     }
 
     status setAside() override
     {
+        m_commitIndex = 0;
         // The identity is renamed and synced first: files left behind by a crash then have no identity and are set aside by the next start.
         for (const auto name : recordFiles) {
             if (!m_files.exists(name)) {
@@ -106,13 +109,12 @@
         return isNew ? m_files.syncFolder() : status(success());
     }
 
-    void recordCommitIndex(log_index commit) override
+    status recordCommitIndex(log_index commit) override
     {
         m_commitIndex = commit;
         schema::replica_message record;
         record.set_commit_index(commit);
-        // A failed write is ignored: the replica then learns the commit index from the next leader.
-        (void)m_files.write(commitFile, frameRecord(record.SerializeAsString()));
+        return m_files.write(commitFile, frameRecord(record.SerializeAsString()));
     }
 
     status saveSnapshot(const replica_snapshot &snapshot, std::span<const log_entry> retained) override
--- a/tests/fakes/memory_files.h
+++ b/tests/fakes/memory_files.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hornbeampick::testing
@@ -14,6 +15,7 @@
 ///
 /// A crash discards unsynced changes: a file reverts to its last synced content, and a creation or rename is undone
 /// unless the folder was synced after it. Part of an unsynced appended tail may survive, as on a real disk.
+/// What a failed sync did not store is never stored: as on Linux, a later sync of the same file succeeds without writing it.
 class memory_files final : public file_system
 {
 public:
@@ -24,6 +26,7 @@
     status truncate(std::string_view name, std::size_t size) override;
     status sync(std::string_view name) override;
     status rename(std::string_view from, std::string_view to) override;
+    status remove(std::string_view name) override;
     status syncFolder() override;
 
     /// Simulates a power loss. `tailSelector` selects how many bytes of each unsynced tail survive, modulo the length of the tail plus one.
@@ -32,6 +35,10 @@
     void empty();
     /// Makes the `operations`-th operation from now and all later ones fail with `error`; 0 disables this.
     void failAfter(std::uint64_t operations, errc error);
+    /// Sets how many bytes all files together may hold. A write beyond that stores what fits and fails with diskFull; empty: no limit.
+    void setCapacity(std::optional<std::size_t> bytes);
+    /// Number of bytes that all files hold.
+    [[nodiscard]] std::size_t usedBytes() const;
     /// Number of modifying operations so far, failed ones included.
     [[nodiscard]] std::uint64_t operations() const
     {
@@ -43,10 +50,12 @@
     struct file {
         std::string content;
         std::string synced;
+        bool syncFailed = false;
     };
     using folder = std::map<std::string, std::shared_ptr<file>, std::less<>>;
 
     status beginOperation();
+    status appendWhatFits(file &target, std::string_view content) const;
 
     folder m_files;
     // Folder entries as of the last folder sync. Files are shared with m_files, so that a later file sync applies here too.
@@ -54,6 +63,7 @@
     std::uint64_t m_operations = 0;
     std::uint64_t m_failAt = 0;
     errc m_error = errc::ioFailed;
+    std::optional<std::size_t> m_capacity;
 };
 
 } // namespace hornbeampick::testing
--- a/tests/fakes/replica_cluster.cpp
+++ b/tests/fakes/replica_cluster.cpp
@@ -72,6 +72,11 @@
         cluster.stopped[index] = why;
     }
 
+    void onRecovered() override
+    {
+        cluster.stopped.erase(index);
+    }
+
     replica_cluster &cluster;
     std::size_t index;
     memory_files files;
@@ -137,6 +142,10 @@
 void replica_cluster::kill(std::size_t host)
 {
     auto &killed = *m_nodes[host];
+    if (killed.engine && killed.engine->view().role == replica_role::stopped) {
+        // The commit index could not be written, so after a restart the host alone may begin from a lower one.
+        m_versions.erase(host);
+    }
     killed.engine.reset();
     ++killed.incarnation;
     killed.frozen = false;
@@ -159,6 +168,8 @@
     options.electionTimeout = electionTime;
     options.heartbeat = heartbeatTime;
     options.snapshotEntries = snapshotAfter;
+    // A new process remembers nothing that the former one did not write.
+    started.store = makeReplicaFileStore(started.files);
     const std::uint64_t incarnation = started.incarnation;
     started.engine = std::make_unique<replica_engine>(options, *started.store, started, started, started.clock, m_random,
                                                       [this, host, incarnation](const form_reply &reply) {
--- a/tests/fakes/replica_cluster.h
+++ b/tests/fakes/replica_cluster.h
@@ -70,7 +70,7 @@
     std::vector<errc> outcomes;
     /// Violated invariants: two leaders in a term, changed committed entries, decreasing versions.
     std::vector<std::string> violations;
-    /// Errors with which hosts stopped their replicas.
+    /// Errors with which hosts stopped their replicas, until they recover.
     std::map<std::size_t, std::error_code> stopped;
 
 private:
--- a/tests/replica/replica_node_test.cpp
+++ b/tests/replica/replica_node_test.cpp
@@ -37,6 +37,9 @@
     void onStopped(std::error_code) override
     {
     }
+    void onRecovered() override
+    {
+    }
 };
 
 struct node_fixture {
