--- a/src/storage/replica_file_store.cpp
+++ b/src/storage/replica_file_store.cpp
@@ -204,6 +204,7 @@
         if (!frames) {
             return frames.error();
         }
+        bool conflictsWithSnapshot = false;
         for (const auto payload : frames.value().payloads) {
             schema::replica_message batch;
             if (!batch.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
@@ -211,7 +212,7 @@
             }
             image.commit = std::max<log_index>(image.commit, batch.commit_index());
             for (const auto &entry : batch.entries()) {
-                if (auto outcome = insertEntry(image, decode(entry)); !outcome) {
+                if (auto outcome = insertEntry(image, decode(entry), conflictsWithSnapshot); !outcome) {
                     return outcome;
                 }
             }
@@ -222,12 +223,18 @@
         return success();
     }
 
-    static status insertEntry(replica_image &image, log_entry entry)
+    // `conflictsWithSnapshot` is set while the entries follow one that differs from the last entry of the snapshot: a leader's snapshot replaced
+    // them, and they must not follow it.
+    static status insertEntry(replica_image &image, log_entry entry, bool &conflictsWithSnapshot)
     {
         const log_index first = image.snapshot.index + 1;
         if (entry.index < first) {
             // The entry replaced all entries stored from its index on, including those after the snapshot.
             image.entries.clear();
+            conflictsWithSnapshot = entry.index == image.snapshot.index && entry.term != image.snapshot.term;
+            return success();
+        }
+        if (conflictsWithSnapshot) {
             return success();
         }
         const log_index position = entry.index - first;
--- a/tests/storage/replica_file_store_test.cpp
+++ b/tests/storage/replica_file_store_test.cpp
@@ -188,6 +188,30 @@
     CHECK(image.value().entries.empty());
 }
 
+// A snapshot replaced a log that conflicts with it, but on a full disk the log could not be replaced. The entries after the conflicting one then
+// followed the snapshot, as if a leader had sent them.
+TEST_CASE("replica_file_store: entries that follow one in conflict with the snapshot are dropped", "[storage]")
+{
+    memory_files files;
+    const auto store = makeReplicaFileStore(files);
+    REQUIRE(store->saveHardState(7, {.term = 4, .votedFor = 0}));
+    REQUIRE(store->append(std::vector<log_entry> {entryOf(1, 1), entryOf(2, 3), entryOf(3, 3)}));
+    REQUIRE(store->append(std::vector<log_entry> {entryOf(4, 3)}));
+    const auto log = files.read("log").value();
+    REQUIRE(store->saveSnapshot(snapshotOf(2, 2), {}));
+    REQUIRE(files.write("log", log));
+    const auto image = store->load();
+    REQUIRE(image);
+    CHECK(image.value().snapshot.index == 2);
+    CHECK(image.value().entries.empty());
+    // Entries that agree with the snapshot are kept.
+    REQUIRE(store->append(std::vector<log_entry> {entryOf(2, 2), entryOf(3, 4)}));
+    const auto replaced = store->load();
+    REQUIRE(replaced);
+    REQUIRE(replaced.value().entries.size() == 1);
+    CHECK(replaced.value().entries[0].term == 4);
+}
+
 TEST_CASE("replica_file_store: a replacement that finds no room keeps the old file and leaves no other", "[storage]")
 {
     memory_files files;
