--- a/tests/node/announcement_persister_test.cpp
+++ b/tests/node/announcement_persister_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <future>
 #include <limits>
+#include <thread>
 
 using namespace hornbeampick;
 
@@ -84,6 +85,22 @@
     REQUIRE(fixture.awaitSaved(position, longTimeout));
 }
 
+TEST_CASE("announcement keeper: after a full disk the changes are saved although nothing asks for it", "[announcements]")
+{
+    persister_fixture fixture;
+    fixture.store.fails = true;
+    fixture.persister.start();
+    const auto position = fixture.log.report(reportOf("a"), fixture.clock.now());
+    REQUIRE_FALSE(fixture.awaitSaved(position, milliseconds(50)));
+    REQUIRE(fixture.store.saves == 0);
+    fixture.store.fails = false;
+    const auto deadline = fixture.clock.now() + longTimeout;
+    while (fixture.store.saves == 0 && fixture.clock.now() < deadline) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    REQUIRE(fixture.store.saves > 0);
+}
+
 TEST_CASE("announcement keeper: a later process starts with what the former one saved", "[announcements]")
 {
     persister_fixture fixture;
