soak: a host whose disk was full is no longer restarted

The soak killed and started every control host whose disk had been full, "as an operator would". That hid that a replica stopped for good when its disk was full. Healing now only makes room, so that the invariants see whether the host takes part again by itself; a process that ends on a full disk is a finding.

--- a/soak/fault.cpp
+++ b/soak/fault.cpp
@@ -185,18 +185,14 @@
                       [host](fault_injector &injector) { injector.slowDisk(host, milliseconds(0)); }});
 }
 
-// A process may exit when its disk is full, so healing restarts it as an operator would.
+// Healing only makes room: the host must take part again without a restart.
 std::shared_ptr<fault> fullDisk(random_draw &draw, const fault_targets &targets)
 {
     const auto host = draw.pick(targets.controlHosts);
     return makeFault({"full-disk",
                       {host},
                       [host](fault_injector &injector) { injector.fillDisk(host, true); },
-                      [host](fault_injector &injector) {
-                          injector.fillDisk(host, false);
-                          injector.kill(host);
-                          injector.start(host);
-                      }});
+                      [host](fault_injector &injector) { injector.fillDisk(host, false); }});
 }
 
 std::shared_ptr<fault> clockStep(random_draw &draw, const fault_targets &targets)
