--- a/tests/fakes/node_fleet.cpp
+++ b/tests/fakes/node_fleet.cpp
@@ -122,6 +122,8 @@
 } // namespace
 
 struct node_fleet::host {
+    // node_fleet_options::program or that of setProgram().
+    std::string program;
     process::child child;
     // End for writing of the pipe from which the process reads its settings; -1 if it reads them from a regular file.
     int settingsPipe = -1;
@@ -317,8 +319,10 @@
         environment["LD_PRELOAD"] = m_options.preload;
         environment["HORNBEAMPICK_FAULTS"] = faultFileOf(name).string();
     }
-    running->child = process::child(HORNBEAMPICK_DAEMON, "--node", settings.string(), environment, process::std_in<process::null, process::std_out> file,
-                                    process::std_err > file);
+    const auto chosen = m_programs.find(name);
+    running->program = chosen != m_programs.end() ? chosen->second : m_options.program;
+    running->child = process::child(running->program.empty() ? HORNBEAMPICK_DAEMON : running->program, "--node", settings.string(), environment,
+                                    process::std_in<process::null, process::std_out> file, process::std_err > file);
     std::fclose(file);
     m_hosts[name] = std::move(running);
 }
@@ -333,6 +337,16 @@
     }
 }
 
+void node_fleet::setProgram(const std::string &name, const std::string &program)
+{
+    m_programs[name] = program;
+}
+
+std::string node_fleet::programOf(const std::string &name) const
+{
+    return m_hosts.at(name)->program;
+}
+
 void node_fleet::kill(const std::string &name)
 {
     signal(name, SIGKILL);
@@ -408,9 +422,9 @@
 bool node_fleet::putRoutes(std::uint64_t version, const std::string &prefix)
 {
     const std::string body = R"({"version":"r)" + std::to_string(version)
-        + R"(","routes":{"columns":["name","hostname","path_prefix","route_type","timeout_ms","target_latency_ms","priority","service","max_attempts"],"rows":[)"
-        + R"(["a","x","/again)" + prefix
-        + R"(/","idempotent",3000,400,1,"s",2],["r","x","/retry/","idempotent",3000,400,1,"s",2],["o","x","/once/","non_idempotent",3000,400,0,"s",2]]},)"
+        + R"(","routes":{"columns":["name","hostname","path_prefix","route_type","timeout_ms","target_latency_ms","priority","service","max_attempts","allowed_regions"],"rows":[)"
+        + R"(["a","x","/again)" + prefix + R"(/","idempotent",3000,400,1,"s",2,[]],["r","x","/retry/","idempotent",3000,400,1,"s",2,[]],)"
+        + R"(["o","x","/once/","non_idempotent",3000,400,0,"s",2,[]],["h","x","/south/","idempotent",3000,400,1,"s",2,["south"]]]},)"
         + R"("services":{"columns":["name","warmup_s","warmup_per_s"],"rows":[["s",1.0,20.0]]}})";
     std::size_t turn = 0;
     return awaitCondition([&] { return callHttp(control(turn++ % m_options.controlHosts), "POST", "/-/Config.Put", body).status == 200; });
--- a/tests/fakes/node_fleet.h
+++ b/tests/fakes/node_fleet.h
@@ -35,6 +35,8 @@
     std::string preload {};
     // Lifetime of callers' look-ups.
     std::chrono::milliseconds lookupLifetime {1000};
+    // Program that the hosts run; empty for the daemon of this build.
+    std::string program {};
 };
 
 /// Control and entry host processes, each on its own loopback address with the same ports, in two regions of two failure domains each.
@@ -53,6 +55,10 @@
     /// Starts the process of a host; hosts are named control-0, control-1, … and entry-0, entry-1, …
     void start(const std::string &name, bool bootstrap = false);
     void startAll();
+    /// Sets the program that a host runs from its next start on; empty for the daemon of this build.
+    void setProgram(const std::string &name, const std::string &program);
+    /// Returns the program of a host's newest process; empty for the daemon of this build.
+    [[nodiscard]] std::string programOf(const std::string &name) const;
     /// Starts the process of a host without its settings, and waits until it tries to read them. Returns false on timeout.
     bool startWithoutSettings(const std::string &name);
     /// Gives a host that startWithoutSettings() started its settings.
@@ -86,7 +92,7 @@
     [[nodiscard]] std::string logs() const;
 
     /// Sends routes to the control hosts in turn until one accepts them; false on timeout. The paths /retry/, /again`prefix`/ and /once/ of
-    /// hostname x lead to service s.
+    /// hostname x lead to service s, and so does /south/, which is restricted to region south.
     bool putRoutes(std::uint64_t version, const std::string &prefix = "");
     /// Deregisters an upstream by its name alone; returns the HTTP status.
     unsigned leave(std::size_t control, const std::string &instance);
@@ -109,6 +115,8 @@
     std::uint16_t m_port = 0;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
     std::map<std::string, std::unique_ptr<host>> m_hosts;
+    // Programs of the hosts that do not run node_fleet_options::program.
+    std::map<std::string, std::string> m_programs;
 };
 
 /// Polls `condition` until it returns true; returns false if it does not within 30 s.
