soak: hosts of an earlier build are replaced one after the other

In all runs the operator now also evacuates failure domains, and a quarter of the requests that may be repeated are restricted to a region; evacuations-kept and allowed-region check both.

Runs of the present build alone are judged as before.

--- a/soak/fault.cpp
+++ b/soak/fault.cpp
@@ -162,6 +162,19 @@
                       .planned = true});
 }
 
+std::shared_ptr<fault> replaced(const std::string &host, build next)
+{
+    return makeFault({.name = next == build::present ? "replace" : "go-back",
+                      .hosts = {host},
+                      .begin =
+                          [host, next](fault_injector &injector) {
+                              injector.setBuild(host, next);
+                              injector.stop(host);
+                          },
+                      .heal = [host](fault_injector &injector) { injector.start(host); },
+                      .planned = true});
+}
+
 std::shared_ptr<fault> reloaded(random_draw &draw, const fault_targets &targets)
 {
     const auto host = anyHost(draw, targets);
@@ -320,6 +333,7 @@
 // seed as they are.
 constexpr std::uint64_t seriesSalt = 0x5e71e5;
 constexpr std::uint64_t lostUpstreamsSalt = 0x105705;
+constexpr std::uint64_t replacementSalt = 0x4e94ade;
 // Time around the loss of a disk in which no other control host may be disturbed, so that no further copies are lost with it.
 constexpr milliseconds diskLossMargin {6000};
 
@@ -387,6 +401,37 @@
     }
 }
 
+// Adds the replacement of every host by the present build, in random order, and takes some hosts back to the former one.
+void addReplacements(std::vector<planned_fault> &plan, const fault_targets &targets, const fault_plan_options &options)
+{
+    constexpr milliseconds postponement {300};
+    constexpr std::size_t replacementsPerReturn = 4;
+    random_draw draw {std::mt19937_64(options.seed ^ replacementSalt)};
+    auto hosts = targets.controlHosts;
+    hosts.insert(hosts.end(), targets.entryHosts.begin(), targets.entryHosts.end());
+    std::ranges::shuffle(hosts, draw.engine);
+    const auto gap = options.length / static_cast<std::int64_t>(hosts.size() + hosts.size() / replacementsPerReturn + 2);
+    milliseconds at {0};
+    const auto add = [&](const std::string &host, build next) {
+        at += draw.between(gap / 2, gap * 3 / 2);
+        planned_fault step {.at = at, .span = draw.between(milliseconds(200), milliseconds(1500))};
+        step.what = replaced(host, next);
+        while (conflictsWith(plan, step)) {
+            step.at += postponement;
+        }
+        // What is postponed beyond the end is left out.
+        if (step.at + step.span <= options.length) {
+            plan.push_back(std::move(step));
+        }
+    };
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        add(hosts[i], build::present);
+        if (draw.below(replacementsPerReturn) == 0) {
+            add(hosts[draw.below(i + 1)], build::former);
+        }
+    }
+}
+
 } // namespace
 
 std::vector<planned_fault> planFaults(const fault_targets &targets, const fault_plan_options &options)
@@ -422,6 +467,9 @@
     }
     addSeries(plan, targets, options);
     addLostUpstreams(plan, targets, options);
+    if (options.replacesHosts) {
+        addReplacements(plan, targets, options);
+    }
     return plan;
 }
 
--- a/soak/fault.h
+++ b/soak/fault.h
@@ -12,6 +12,12 @@
 namespace hornbeampick::soak
 {
 
+/// Which program a host runs: that of this build, or an earlier one.
+enum class build {
+    present,
+    former,
+};
+
 /// Interface through which faults act on the system under test from outside.
 class fault_injector
 {
@@ -24,6 +30,8 @@
     /// Requests a planned stop, as operators do. start() waits until the process has exited.
     virtual void stop(const std::string &host) = 0;
     virtual void reload(const std::string &host) = 0;
+    /// Sets the build that a host runs from its next start on.
+    virtual void setBuild(const std::string &host, build next) = 0;
     /// Requests further changes of the routes, as operators send them, beside those in progress.
     virtual void changeRoutes() = 0;
     virtual void emptyDisk(const std::string &host) = 0;
@@ -92,11 +100,13 @@
     milliseconds stepGap {400};
     // Mean interval between times at which an entry host loses its new connections to all upstreams.
     milliseconds lostUpstreamsGap {12000};
+    // All hosts run the former build at first and are replaced one after the other.
+    bool replacesHosts = false;
 };
 
 /// Generates a plan of faults that may overlap in time; a given seed always gives the same plan. No two faults affect the same host at
 /// the same time. Series of planned stops, reloads and changes of the routes are mixed in, drawn apart from the other faults, and
-/// so are times at which an entry host reaches no upstream on new connections.
+/// so are times at which an entry host reaches no upstream on new connections and replacements of hosts by the other build.
 std::vector<planned_fault> planFaults(const fault_targets &targets, const fault_plan_options &options);
 
 } // namespace hornbeampick::soak
--- a/soak/invariant.h
+++ b/soak/invariant.h
@@ -16,6 +16,7 @@
     milliseconds settlingTime {4000};
     milliseconds drain {2500};
     milliseconds routesInForce {2500};
+    milliseconds evacuation {5000};
     // Allowed delay of an answer beyond its deadline, for the return path and scheduling on a busy test machine.
     milliseconds answerSlack {1500};
     // Time from SIGTERM until a host is killed, and the time after it in which the end of its connections is still put down to the stop.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -35,7 +35,7 @@
         std::cout << "seed " << seed << ": did not start\n" << environment.logs();
         return 1;
     }
-    const auto plan = planFaults(environment.targets(), {.seed = seed, .length = length});
+    const auto plan = planFaults(environment.targets(), {.seed = seed, .length = length, .replacesHosts = !shape.formerProgram.empty()});
     if (verbose) {
         printPlan(plan);
     }
@@ -74,6 +74,8 @@
     add("control", "control hosts", cxxopts::value<std::size_t>()->default_value("5"));
     add("entry", "entry hosts", cxxopts::value<std::size_t>()->default_value("4"));
     add("upstreams", "upstreams", cxxopts::value<std::size_t>()->default_value("6"));
+    add("former", "program of an earlier build that all hosts run at first, until they are replaced", cxxopts::value<std::string>()->default_value(""));
+    add("keep-former", "replace hosts by the earlier build again, to see the faults that it has by itself", cxxopts::value<bool>()->default_value("false"));
     add("verbose", "print the faults", cxxopts::value<bool>()->default_value("false"));
     add("help", "print this");
     const auto parsed = options.parse(argc, argv);
@@ -86,6 +88,8 @@
         .entryHosts = parsed["entry"].as<std::size_t>(),
         .upstreams = parsed["upstreams"].as<std::size_t>(),
         .faultLibrary = HORNBEAMPICK_FAULT_LIBRARY,
+        .formerProgram = parsed["former"].as<std::string>(),
+        .keepsFormer = parsed["keep-former"].as<bool>(),
     };
     const auto first = parsed["seed"].as<std::uint64_t>();
     std::size_t failed = 0;
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -54,6 +54,12 @@
     m_others.deregistrations.push_back(std::move(seen));
 }
 
+void recorder::recordEvacuation(evacuation seen)
+{
+    const std::lock_guard guard(m_lock);
+    m_others.evacuations.push_back(std::move(seen));
+}
+
 void recorder::recordAccepted(routes_accepted seen)
 {
     const std::lock_guard guard(m_lock);
--- a/soak/record.h
+++ b/soak/record.h
@@ -29,6 +29,8 @@
     std::size_t entry = 0;
     // The request is not idempotent and may run at most once.
     bool runOnce = false;
+    // The only region in which the request's route lets it run; empty if it may run anywhere.
+    std::string allowedRegion {};
     steady_time requestedAt {};
     steady_time endedAt {};
     milliseconds deadline {0};
@@ -44,6 +46,8 @@
 struct upstream_execution {
     std::string id;
     std::string instance;
+    std::string domain {};
+    std::string region {};
     std::size_t entry = 0;
     steady_time at {};
     // Time at which the upstream finished its work; steady_time::max() while it is at work.
@@ -70,6 +74,8 @@
     std::size_t entry = 0;
     steady_time from {};
     steady_time to {};
+    // A host of the fleet ran the former build, which neither asks other entry hosts to serve nor serves for them.
+    bool besideFormer = false;
 };
 
 /// A signal by which operators asked a host for a planned stop or a reload.
@@ -77,6 +83,8 @@
     std::string host;
     steady_time at {};
     bool stops = false;
+    // The process runs the former build, which breaks off requests when it stops or reloads.
+    bool toFormer = false;
 };
 
 /// An acknowledged deregistration of an upstream. `until` is the time at which the upstream registered again.
@@ -86,6 +94,13 @@
     steady_time until {};
 };
 
+/// An acknowledged evacuation of a failure domain. It was withdrawn at `until`.
+struct evacuation {
+    std::string domain;
+    steady_time acknowledgedAt {};
+    steady_time until {};
+};
+
 /// An acknowledged version of the routes. The next version was sent at `supersededAt`.
 struct routes_accepted {
     std::uint64_t version = 0;
@@ -128,6 +143,7 @@
     std::vector<planned_signal> signals;
     std::vector<upstreams_lost> losses;
     std::vector<deregistration> deregistrations;
+    std::vector<evacuation> evacuations;
     std::vector<routes_accepted> accepted;
     std::vector<routes_read> reads;
     std::vector<routes_probe> probes;
@@ -145,6 +161,7 @@
     void recordSignal(planned_signal seen);
     void recordLoss(upstreams_lost seen);
     void recordDeregistration(deregistration seen);
+    void recordEvacuation(evacuation seen);
     void recordAccepted(routes_accepted seen);
     void recordRead(routes_read seen);
     void recordProbe(routes_probe seen);
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -29,6 +29,8 @@
 // Long, so that a draining host takes requests until late in its grace period.
 constexpr milliseconds lookupLifetime {2000};
 constexpr steady_time never = steady_time::max();
+// Salt of the seed from which evacuations are drawn, so that they leave the operator's other orders as they are.
+constexpr std::uint64_t evacuationSalt = 0xe7ac;
 
 steady_time now()
 {
@@ -88,7 +90,8 @@
                .entryHosts = options.entryHosts,
                .proxies = true,
                .preload = options.faultLibrary,
-               .lookupLifetime = lookupLifetime})
+               .lookupLifetime = lookupLifetime,
+               .program = options.formerProgram})
 {
     for (std::size_t i = 0; i < options.upstreams; ++i) {
         auto made = std::make_unique<upstream>();
@@ -306,7 +309,10 @@
     while (!m_stopping) {
         client_observation observation {.id = pattern.idPrefix + std::to_string(++m_nextId), .entry = entry, .runOnce = draw() % 2 == 0};
         observation.deadline = drawTime(pattern.deadline);
-        const std::string target = (observation.runOnce ? "/once/e" : "/retry/e") + std::to_string(entry) + "/" + observation.id;
+        // A quarter of the requests that may be repeated are restricted to a region.
+        observation.allowedRegion = !observation.runOnce && stableHash(observation.id) % 4 == 0 ? "south" : "";
+        const std::string path = observation.runOnce ? "/once/e" : observation.allowedRegion.empty() ? "/retry/e" : "/south/e";
+        const std::string target = path + std::to_string(entry) + "/" + observation.id;
         observation.requestedAt = now();
         auto answer = client.send(target, observation.id, observation.deadline);
         observation.endedAt = now();
@@ -323,7 +329,9 @@
 void soak_environment::runOperator()
 {
     std::mt19937_64 draw(m_options.seed);
+    std::mt19937_64 evacuationDraw(m_options.seed ^ evacuationSalt);
     routes_accepted latest;
+    evacuation evacuated;
     while (!m_stopping && !m_routesFrozen) {
         const auto series = 1 + draw() % 3;
         for (std::size_t i = 0; i < series && !m_stopping; ++i) {
@@ -339,6 +347,7 @@
             }
             sleepFor(milliseconds(100 + static_cast<std::int64_t>(draw() % 300)));
         }
+        changeEvacuation(evacuationDraw, evacuated);
         const auto probeAt = now() + probeDelay;
         while (m_changesRequested == 0 && now() < probeAt && sleepFor(sleepStep)) { }
         if (m_changesRequested > 0) {
@@ -350,6 +359,32 @@
     if (latest.version > 0) {
         m_recorder.recordAccepted(latest);
     }
+    if (!evacuated.domain.empty()) {
+        // It holds until the end of the run.
+        evacuated.until = never;
+        m_recorder.recordEvacuation(evacuated);
+    }
+}
+
+void soak_environment::changeEvacuation(std::mt19937_64 &draw, evacuation &current)
+{
+    constexpr std::size_t seriesPerChange = 3;
+    const bool withdraws = !current.domain.empty();
+    if (draw() % seriesPerChange != 0) {
+        return;
+    }
+    const auto domain = withdraws ? current.domain : testing::node_fleet::domainOf(draw() % 4);
+    if (withdraws) {
+        current.until = now();
+        m_recorder.recordEvacuation(current);
+        current = {};
+    }
+    std::size_t turn = draw();
+    const auto target = (withdraws ? "/-/Evacuate.End/" : "/-/Evacuate.Start/") + domain;
+    const bool accepted = awaitCondition([&] { return callHttp(m_fleet.control(turn++ % m_options.controlHosts), "POST", target).status == 200; });
+    if (accepted && !withdraws) {
+        current = {.domain = domain, .acknowledgedAt = now()};
+    }
 }
 
 void soak_environment::probeRoutes(std::uint64_t version)
@@ -390,7 +425,12 @@
         return true;
     }
     const auto parsed = parseTarget(request);
-    m_recorder.recordExecution({.id = parsed.id, .instance = instance, .entry = parsed.entry, .at = now()});
+    m_recorder.recordExecution({.id = parsed.id,
+                                .instance = instance,
+                                .domain = self.domain,
+                                .region = self.domain.substr(0, self.domain.find('-')),
+                                .entry = parsed.entry,
+                                .at = now()});
     const bool complete = work(self, runTimeOf(parsed.id));
     m_recorder.recordExecutionEnd(parsed.id, instance, now());
     --self.running;
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -40,6 +40,10 @@
     std::uint64_t seed = 1;
     // Library that injects storage and clock faults, for LD_PRELOAD; empty for none.
     std::string faultLibrary;
+    // Program that all hosts run at first; empty for the daemon of this build.
+    std::string formerProgram {};
+    // Hosts that are replaced run the former program again, to tell its own faults from those of the replacement.
+    bool keepsFormer = false;
 };
 
 /// The system under test: daemon processes with simulated clients, upstreams and an operator around them.
@@ -67,6 +71,7 @@
     void resume(const std::string &host) override;
     void stop(const std::string &host) override;
     void reload(const std::string &host) override;
+    void setBuild(const std::string &host, build next) override;
     void changeRoutes() override;
     void emptyDisk(const std::string &host) override;
     void slowDisk(const std::string &host, milliseconds delay) override;
@@ -112,8 +117,12 @@
     void sendHeartbeat(upstream &each);
     void runClient(std::size_t entry, const client_pattern &pattern, std::uint64_t seed);
     void runOperator();
+    // Starts or withdraws the evacuation of a failure domain.
+    void changeEvacuation(std::mt19937_64 &draw, evacuation &current);
     void probeRoutes(std::uint64_t version);
     void readRoutes();
+    [[nodiscard]] bool runsFormer(const std::string &host) const;
+    [[nodiscard]] bool anyRunsFormer() const;
     bool serveRequest(const std::string &instance, const testing::received_request &request, testing::scripted_upstream::socket &to);
     void startServer(upstream &each);
     testing::fault_proxy &linkTo(const std::string &name);
@@ -136,7 +145,7 @@
     // Links by the upstream that owned them first; addresses may be swapped.
     std::map<std::string, testing::fault_proxy *> m_upstreamLinks;
     std::map<std::string, stop_in_progress> m_stops;
-    std::map<std::string, steady_time> m_upstreamsLostAt;
+    std::map<std::string, upstreams_lost> m_losses;
     // Hosts that did not exit within the grace period of a planned stop.
     std::vector<std::string> m_notStopped;
     std::atomic<bool> m_stopping {false};
--- a/soak/soak_environment_faults.cpp
+++ b/soak/soak_environment_faults.cpp
@@ -3,6 +3,7 @@
 #include "fault_block.h"
 #include "soak_environment.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstddef>
 #include <fstream>
@@ -63,7 +64,10 @@
             return false;
         }
         if (running) {
-            m_notStopped.push_back(host);
+            // A control host of the former build may hang when a call arrives while it stops.
+            if (!runsFormer(host)) {
+                m_notStopped.push_back(host);
+            }
             m_fleet.kill(host);
         }
         m_fleet.start(host);
@@ -95,17 +99,35 @@
     const auto [stop, isFirst] = m_stops.try_emplace(host, stop_in_progress {.requestedAt = at, .exitUntil = at + stopTimeout});
     ++stop->second.open;
     if (isFirst) {
-        m_recorder.recordSignal({.host = host, .at = at, .stops = true});
+        m_recorder.recordSignal({.host = host, .at = at, .stops = true, .toFormer = runsFormer(host)});
     }
     m_fleet.signal(host, SIGTERM);
 }
 
 void soak_environment::reload(const std::string &host)
 {
-    m_recorder.recordSignal({.host = host, .at = now()});
+    m_recorder.recordSignal({.host = host, .at = now(), .toFormer = runsFormer(host)});
     m_fleet.signal(host, SIGHUP);
 }
 
+void soak_environment::setBuild(const std::string &host, build next)
+{
+    const bool isFormer = next == build::former || m_options.keepsFormer;
+    m_fleet.setProgram(host, isFormer ? m_options.formerProgram : std::string {});
+}
+
+bool soak_environment::runsFormer(const std::string &host) const
+{
+    return !m_options.formerProgram.empty() && m_fleet.programOf(host) == m_options.formerProgram;
+}
+
+bool soak_environment::anyRunsFormer() const
+{
+    const auto names = targets();
+    const auto isFormer = [this](const std::string &host) { return runsFormer(host); };
+    return std::ranges::any_of(names.controlHosts, isFormer) || std::ranges::any_of(names.entryHosts, isFormer);
+}
+
 void soak_environment::changeRoutes()
 {
     ++m_changesRequested;
@@ -135,9 +157,12 @@
 {
     writeFault(m_fleet.faultFileOf(host), offsetof(fault_block, upstreamsUnreachable), lost ? 1 : 0);
     if (lost) {
-        m_upstreamsLostAt[host] = now();
+        m_losses[host] = {.entry = std::stoul(host.substr(host.find('-') + 1)), .from = now(), .besideFormer = anyRunsFormer()};
     } else {
-        m_recorder.recordLoss({.entry = std::stoul(host.substr(host.find('-') + 1)), .from = m_upstreamsLostAt.at(host), .to = now()});
+        auto &loss = m_losses.at(host);
+        loss.to = now();
+        loss.besideFormer = loss.besideFormer || anyRunsFormer();
+        m_recorder.recordLoss(loss);
     }
 }
 
--- a/tests/soak/invariant_test.cpp
+++ b/tests/soak/invariant_test.cpp
@@ -74,6 +74,37 @@
     REQUIRE(firstFinding(record).empty());
 }
 
+TEST_CASE("soak: a request in an evacuated failure domain is found, unless its host was out of touch or the evacuation is withdrawn", "[soak]")
+{
+    auto record = healthyRecord();
+    record.requests[0].runs[0].domain = "north-a";
+    record.evacuations.push_back({.domain = "north-a", .acknowledgedAt = start - seconds(6), .until = steady_time::max()});
+    REQUIRE(firstFinding(record) == "evacuations-kept");
+    record.evacuations[0].domain = "north-b";
+    REQUIRE(firstFinding(record).empty());
+    record.evacuations[0].domain = "north-a";
+    record.evacuations[0].acknowledgedAt = start - seconds(4);
+    REQUIRE(firstFinding(record).empty());
+    record.evacuations[0].acknowledgedAt = start - seconds(6);
+    record.evacuations[0].until = start - seconds(1);
+    REQUIRE(firstFinding(record).empty());
+    record.evacuations[0].until = steady_time::max();
+    record.faultIntervals.push_back({.host = "control-1", .from = start - seconds(9), .to = start - seconds(1)});
+    REQUIRE(firstFinding(record).empty());
+}
+
+TEST_CASE("soak: a request that runs outside its allowed region is found, whatever else is disturbed", "[soak]")
+{
+    auto record = healthyRecord();
+    record.requests[0].runs[0].region = "north";
+    REQUIRE(firstFinding(record).empty());
+    record.requests[0].client.allowedRegion = "south";
+    record.faultIntervals.push_back({.host = "control-1", .from = start - seconds(9), .to = start - seconds(1)});
+    REQUIRE(firstFinding(record) == "allowed-region");
+    record.requests[0].runs[0].region = "south";
+    REQUIRE(firstFinding(record).empty());
+}
+
 TEST_CASE("soak: old reads, routes that are not in force and lost versions are found", "[soak]")
 {
     auto record = healthyRecord();
@@ -131,6 +162,10 @@
 {
     auto record = brokenOffRecord();
     REQUIRE(firstFinding(record) == "kept-through-signals");
+    // The former build breaks requests off by itself.
+    record.signals[0].toFormer = true;
+    REQUIRE(firstFinding(record).empty());
+    record.signals[0].toFormer = false;
     // A request sent before the signal is kept as well.
     record.requests[1].client.requestedAt = start - milliseconds(500);
     record.requests[1].client.endedAt = start + seconds(1);
@@ -166,6 +201,9 @@
         record.requests.push_back({.client = client});
     }
     REQUIRE(firstFinding(record) == "serves-through-others");
+    record.losses[0].besideFormer = true;
+    REQUIRE(firstFinding(record).empty());
+    record.losses[0].besideFormer = false;
     // The other host may be down.
     record.faultIntervals.push_back({.host = "entry-0", .from = start - seconds(1), .to = start + seconds(2)});
     REQUIRE(firstFinding(record).empty());
@@ -216,6 +254,7 @@
 {
 public:
     std::map<std::string, int> down;
+    std::map<std::string, build> builds;
     int calls = 0;
 
     void kill(const std::string &host) override
@@ -243,6 +282,10 @@
     void reload(const std::string & /*host*/) override
     {
     }
+    void setBuild(const std::string &host, build next) override
+    {
+        builds[host] = next;
+    }
     void changeRoutes() override
     {
     }
@@ -329,3 +372,29 @@
         }
     }
 }
+
+TEST_CASE("soak: replacements reach every kind of host, take some back, and leave the other faults of a seed as they are", "[soak]")
+{
+    const fault_targets targets {
+        .controlHosts = {"control-0", "control-1", "control-2"}, .entryHosts = {"entry-0", "entry-1"}, .upstreams = {"u0", "u1", "u2"}};
+    std::size_t replacements = 0;
+    std::size_t returns = 0;
+    constexpr std::uint64_t seeds = 50;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const auto plan = planFaults(targets, {.seed = seed, .length = seconds(20)});
+        const auto upgrade = planFaults(targets, {.seed = seed, .length = seconds(20), .replacesHosts = true});
+        REQUIRE(upgrade.size() > plan.size());
+        fault_injector_mock injector;
+        for (std::size_t i = 0; i < upgrade.size(); ++i) {
+            CAPTURE(seed, i);
+            REQUIRE((i >= plan.size() || upgrade[i].what->name() == plan[i].what->name()));
+            REQUIRE(upgrade[i].at + upgrade[i].span <= seconds(20));
+            upgrade[i].what->begin(injector);
+            replacements += upgrade[i].what->name() == "replace" ? 1 : 0;
+            returns += upgrade[i].what->name() == "go-back" ? 1 : 0;
+        }
+        REQUIRE(injector.builds.size() > 1);
+    }
+    REQUIRE(replacements > seeds * 3);
+    REQUIRE(returns > seeds / 2);
+}
