tests: no string concatenation that the linter refuses

clang-tidy refused two concatenations in the tests of upgrades (performance-inefficient-string-concatenation). The lines are built with a stream and with append instead; what the tests check is unchanged.

--- a/tests/integration/upgrade_test.cpp
+++ b/tests/integration/upgrade_test.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <mutex>
+#include <sstream>
 #include <thread>
 
 using namespace hornbeampick;
@@ -218,7 +219,9 @@
         std::string all;
         for (const auto &[id, seen] : m_requests) {
             const auto note = [&, &id = id, &seen = seen](const std::string &what) {
-                all += what + ": " + id + " at entry-" + std::to_string(seen.entry) + ", status " + std::to_string(seen.answer.status) + "\n";
+                std::ostringstream line;
+                line << what << ": " << id << " at entry-" << seen.entry << ", status " << seen.answer.status << '\n';
+                all += line.str();
             };
             const auto found = m_runs.find(id);
             const std::size_t runs = found != m_runs.end() ? found->second : 0;
@@ -338,7 +341,8 @@
             const auto &kind = kinds[number % kinds.size()];
             const auto id = kind + std::to_string(number);
             const auto sentAt = steady_clock::now();
-            const auto answer = client.send("/" + kind + "/e" + std::to_string(entry) + "/" + id, id, requestDeadline);
+            const auto answer
+                = client.send(std::string("/").append(kind).append("/e").append(std::to_string(entry)).append("/").append(id), id, requestDeadline);
             const auto took = steady_clock::now() - sentAt;
             if (answer.end != request_end::notSent) {
                 const std::lock_guard guard(m_lock);
