steering: a restricted request goes only to peers in the regions of its route

An isolated entry host passed the requests of a restricted route to peers of its own region, whatever the route allowed: relay_peers::acquire took the own region for the caller's. It is the caller's only if a look-up for this region sent it here; a caller that has moved, or whose region had no host when it asked, comes from elsewhere, and its body went to a host in a region that is neither allowed nor its own. The class: each part that picks a host or an upstream asked for the regions in its own words. isRegionAllowed now answers for all of them, without an exception for the own region; an upstream has to be in an allowed region in any case, so that nothing is lost by going there at once.

--- a/include/rules/routing_table.h
+++ b/include/rules/routing_table.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -15,6 +16,10 @@
 namespace hornbeampick
 {
 
+/// Returns true when a request may be handled in `region`. `allowed` are the regions to which its route is restricted; empty allows all.
+/// Every choice of a host or an upstream for a request has to ask this.
+[[nodiscard]] bool isRegionAllowed(std::span<const region_name> allowed, const region_name &region);
+
 /// A service and its relative weight among the services of a route.
 struct service_weight {
     service_name service;
--- a/include/steering/relay_peers.h
+++ b/include/steering/relay_peers.h
@@ -53,7 +53,7 @@
 
     /// Replaces the peers. Must not be called concurrently.
     void set(std::vector<relay_peer> peers);
-    /// Chooses a peer with room for one more request and counts the request as in progress there. Peers in the own region come first,
+    /// Chooses a peer in an allowed region with room for one more request and counts the request as in progress there. Peers in the own region come first,
     /// and those that could not be reached lately last. Empty when no peer has room. Every result has to be passed to `release`.
     [[nodiscard]] std::optional<relay_peer> acquire(const peer_target &target, steady_time now);
     /// Forgets the load of all peers, which may have changed since they were last used. Must be called when requests begin to be passed on.
--- a/src/rules/routing_table.cpp
+++ b/src/rules/routing_table.cpp
@@ -33,6 +33,11 @@
 
 } // namespace
 
+bool isRegionAllowed(std::span<const region_name> allowed, const region_name &region)
+{
+    return allowed.empty() || std::ranges::find(allowed, region) != allowed.end();
+}
+
 const routed_service *routing_table::findService(const service_name &name) const
 {
     const auto found = std::ranges::find(services, name, &routed_service::name);
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -236,8 +236,7 @@
         const auto &report = each.report;
         const bool excluded = report.state == upstream_state::draining || report.silent || each.misdirected || each.leaving
             || std::ranges::find(*evacuated, report.domain) != evacuated->end();
-        const bool regionAllowed = request.allowedRegions.empty() || std::ranges::find(request.allowedRegions, each.region) != request.allowedRegions.end();
-        if (excluded || !regionAllowed) {
+        if (excluded || !isRegionAllowed(request.allowedRegions, each.region)) {
             continue;
         }
         const bool isDeferred = now < each.deferredUntil;
--- a/src/steering/relay_peers.cpp
+++ b/src/steering/relay_peers.cpp
@@ -1,6 +1,7 @@
 #include "steering/relay_peers.h"
 
 #include "core/digest.h"
+#include "rules/routing_table.h"
 
 #include <algorithm>
 #include <array>
@@ -43,9 +44,7 @@
     std::array<std::vector<const relay_peer *>, 3> ranked;
     for (const auto &each : *peers) {
         const bool isOwnRegion = each.region == m_ownRegion;
-        const bool regionAllowed
-            = isOwnRegion || target.allowedRegions.empty() || std::ranges::find(target.allowedRegions, each.region) != target.allowedRegions.end();
-        if (!regionAllowed || std::ranges::find(target.tried, each.address) != target.tried.end()) {
+        if (!isRegionAllowed(target.allowedRegions, each.region) || std::ranges::find(target.tried, each.address) != target.tried.end()) {
             continue;
         }
         m_states.with(stableHash(each.address), [&](peer_states &all) {
