fleet: an upstream keeps its failure domain for an incarnation

A report under the name of a healthy upstream, with a larger number and another failure domain, moved the upstream: its requests on restricted routes, and evacuations, went by the region of the newest report, while it ran where it was. Within an incarnation an upstream does not move, so the failure domain that was reported first is kept, at the control host that receives the reports and at the entry host that joins those of several. A later incarnation may run elsewhere. The rest of an odd report is taken as before: refusing it could lock out the upstream if the odd one came first.

--- a/include/fleet/upstream_directory.h
+++ b/include/fleet/upstream_directory.h
@@ -64,6 +64,8 @@
     [[nodiscard]] bool isReachable(const source_state &state, steady_time now) const;
 
     std::map<std::string, source_state> m_sources;
+    // The report from which the failure domain of each upstream was first learnt, by its latest incarnation.
+    std::map<instance_name, upstream_report> m_firstReports;
     std::set<service_name> m_services;
     std::map<instance_name, deregistration> m_deregistrations;
     steady_time m_lastContactAt {};
--- a/include/fleet/upstream_report.h
+++ b/include/fleet/upstream_report.h
@@ -52,6 +52,9 @@
 /// an incarnation, `gone` is final, and a change to draining or gone applies even if its report is the older one.
 bool supersedes(const upstream_report &incoming, const upstream_report &known);
 
+/// Returns the failure domain to record for `incoming`: within an incarnation, the one that was reported first.
+[[nodiscard]] const domain_name &keptDomain(const upstream_report &known, const upstream_report &incoming);
+
 /// Returns true when `later` ends `earlier`: another upstream that started later at the same address. One whose service is not in
 /// `knownServices` ends only upstreams of its own service, since it may be no upstream at all.
 bool takesOverAddress(const upstream_report &later, const upstream_report &earlier, const std::set<service_name> &knownServices);
--- a/src/fleet/announcement_log.cpp
+++ b/src/fleet/announcement_log.cpp
@@ -43,12 +43,14 @@
     retireEarlierAtAddress(incoming);
     const bool hasChanged = isNew || isChange(known, incoming, now);
     const auto leftAt = known.report.leftAt;
+    const auto domain = keptDomain(known.report, incoming);
     if (incoming.address.empty() && incoming.incarnation == known.report.incarnation) {
         // A deregistration carries only the instance and its incarnation: keep the other fields.
         known.report.state = incoming.state;
     } else {
         known.report = incoming;
     }
+    known.report.domain = domain;
     known.report.silent = false;
     // An incarnation that started before the deregistration may be the one that was meant. Entry hosts decide, since they know
     // which incarnation they had at that time.
@@ -170,6 +172,7 @@
 {
     auto before = known.report;
     auto after = incoming;
+    after.domain = keptDomain(before, after);
     before.reportedAt = after.reportedAt = 0;
     before.inFlight = after.inFlight = 0;
     before.warmupLeft = after.warmupLeft = milliseconds(0);
--- a/src/fleet/upstream_directory.cpp
+++ b/src/fleet/upstream_directory.cpp
@@ -30,6 +30,10 @@
     }
     for (const auto &report : reports) {
         recordDeregistration(report);
+        auto &first = m_firstReports[report.instance];
+        if (first.domain.empty() || report.incarnation > first.incarnation) {
+            first = report;
+        }
         state.observations[report.instance] = {.report = report, .warmupEnd = now + report.warmupLeft};
     }
 }
@@ -116,6 +120,7 @@
     for (const auto &[instance, entry] : all) {
         known_upstream known {.report = entry.newest->report, .warmupEnd = entry.warmupEnd};
         known.report.silent = entry.silent;
+        known.report.domain = keptDomain(m_firstReports.at(instance), known.report);
         const auto deregistered = m_deregistrations.find(instance);
         const bool ended = deregistered != m_deregistrations.end() && deregistered->second.covers(known.report.incarnation);
         const bool takenOver = std::ranges::any_of(reportsAtAddress[known.report.address],
--- a/src/fleet/upstream_report.cpp
+++ b/src/fleet/upstream_report.cpp
@@ -71,6 +71,11 @@
     return leaves || rank(incoming) > rank(known);
 }
 
+const domain_name &keptDomain(const upstream_report &known, const upstream_report &incoming)
+{
+    return incoming.incarnation == known.incarnation && !known.domain.empty() ? known.domain : incoming.domain;
+}
+
 bool takesOverAddress(const upstream_report &later, const upstream_report &earlier, const std::set<service_name> &knownServices)
 {
     const bool sharesAddress = !later.address.empty() && later.address == earlier.address && later.instance != earlier.instance;
