node: look-ups keep to the regions of a hostname, and wait for a region's hosts

A look-up named the hosts of all regions as soon as the control host knew none of the caller's: callers of restricted routes were sent to hosts in regions that are neither allowed nor theirs. The class: what is not known yet is taken for what is not there. Until absentAfter has passed since its start, a control host now names no other region: the caller asks the next one. After that, it names only regions that the hostname's routes allow, when all of them are restricted; a hostname with other routes as well keeps the former answer, since a look-up does not tell the path.

--- a/include/fleet/entry_host_list.h
+++ b/include/fleet/entry_host_list.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,15 @@
     milliseconds absentAfter {1500};
     /// An entry host without a watch query for this long is removed and no longer counts when limits are divided among hosts.
     milliseconds removedAfter {15000};
+    /// Start of this control host. Until `absentAfter` has passed, a region may have hosts that have not queried it yet.
+    steady_time startedAt = steady_time::min();
+};
+
+/// What a look-up asks for.
+struct entry_host_query {
+    region_name region;
+    /// Other regions whose hosts may be named instead; empty allows all.
+    std::span<const region_name> allowedRegions;
 };
 
 /// The entry hosts that must have applied a change before it is confirmed.
@@ -43,10 +53,10 @@
     /// Records a watch query from `host`, which has the announcements up to `position`.
     void recordProgress(const entry_host &host, std::uint64_t position, steady_time now);
 
-    /// Selects the serving hosts in `region`, or of all serving hosts when the region has none. Isolated hosts are
+    /// Selects the serving hosts in the region of `query`, or those in allowed regions once it is known that the region has none. Isolated hosts are
     /// left out unless they are the majority: then the other hosts could not bear the load of all callers, which isolated hosts
     /// spread over the fleet.
-    [[nodiscard]] entry_selection select(const region_name &region, steady_time now) const;
+    [[nodiscard]] entry_selection select(const entry_host_query &query, steady_time now) const;
     /// Returns serving hosts that are not isolated, at most `limit`, those in the region of `watcher` first. Each watcher gets another
     /// order, so that together they use all hosts.
     [[nodiscard]] std::vector<relay_peer> relayPeersFor(const entry_host &watcher, std::size_t limit, steady_time now) const;
--- a/include/rules/routing_table.h
+++ b/include/rules/routing_table.h
@@ -103,6 +103,10 @@
     /// Ignores letter case and port of `hostname` and the query of `path`.
     [[nodiscard]] const route *find(std::string_view hostname, std::string_view path) const;
 
+    /// Returns the regions to which all routes of `hostname` are restricted: those that each of them allows or, if there are none, those
+    /// that any of them allows. Empty when a route is not restricted, or there is no route.
+    [[nodiscard]] std::vector<region_name> regionsOf(std::string_view hostname) const;
+
     [[nodiscard]] const routing_table &table() const
     {
         return *m_table;
--- a/src/fleet/entry_host_list.cpp
+++ b/src/fleet/entry_host_list.cpp
@@ -1,6 +1,7 @@
 #include "fleet/entry_host_list.h"
 
 #include "core/digest.h"
+#include "rules/routing_table.h"
 
 #include <algorithm>
 #include <utility>
@@ -25,26 +26,28 @@
     known.lastQueryAt = now;
 }
 
-entry_selection entry_host_list::select(const region_name &region, steady_time now) const
+entry_selection entry_host_list::select(const entry_host_query &query, steady_time now) const
 {
-    std::vector<const entry_host *> all;
+    const bool isComplete = now - m_options.absentAfter >= m_options.startedAt;
+    std::vector<const entry_host *> elsewhere;
     std::vector<const entry_host *> inRegion;
     const std::lock_guard guard(m_lock);
     for (const auto &[name, known] : m_records) {
         if (!isServing(known, now)) {
             continue;
         }
-        all.push_back(&known.host);
-        if (known.host.region == region) {
+        if (known.host.region == query.region) {
             inRegion.push_back(&known.host);
+        } else if (isComplete && isRegionAllowed(query.allowedRegions, known.host.region)) {
+            elsewhere.push_back(&known.host);
         }
     }
-    auto &hosts = inRegion.empty() ? all : inRegion;
+    auto &hosts = inRegion.empty() ? elsewhere : inRegion;
     const auto isolated = static_cast<std::size_t>(std::ranges::count_if(hosts, [](const entry_host *each) { return each->isolated; }));
     if (2 * isolated <= hosts.size()) {
         std::erase_if(hosts, [](const entry_host *each) { return each->isolated; });
     }
-    entry_selection selection {.isOutsideRegion = inRegion.empty() && !all.empty()};
+    entry_selection selection {.isOutsideRegion = inRegion.empty() && !elsewhere.empty()};
     selection.addresses.reserve(hosts.size());
     for (const auto *each : hosts) {
         selection.addresses.push_back(each->address);
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -209,7 +209,9 @@
     [[nodiscard]] entry_choice chooseEntry(const entry_query &query) const override
     {
         const auto now = m_clock.now();
-        auto selection = m_hosts.select(query.region, now);
+        const auto routes = m_routes.get();
+        const auto allowedRegions = routes ? routes->regionsOf(query.hostname) : std::vector<region_name>();
+        auto selection = m_hosts.select({.region = query.region, .allowedRegions = allowedRegions}, now);
         if (selection.isOutsideRegion) {
             logRateLimited(log_level::info, "look-up-outside-region",
                            {{"region", printableName(query.region.view())},
@@ -261,6 +263,7 @@
                       {"routesVersion", static_cast<std::int64_t>(state.routing.version)},
                       {"evacuated", static_cast<std::int64_t>(state.evacuated.size())}});
             m_announcements.setServices(state.routing.serviceNames());
+            m_routes.set(std::make_shared<const route_index>(std::make_shared<const routing_table>(state.routing)));
             m_watchServer.setState(state);
         }
         m_state.set(std::make_shared<const ledger_state>(state));
@@ -411,9 +414,10 @@
     metrics m_counters;
     std::unique_ptr<control_client> m_peers;
     announcement_log m_announcements;
-    entry_host_list m_hosts;
+    entry_host_list m_hosts {{.startedAt = m_startedAt}};
     watch_server m_watchServer;
     published<ledger_state> m_state;
+    published<route_index> m_routes;
     std::unique_ptr<http_handler> m_handler;
     metrics_handler m_metricsHandler;
     std::unique_ptr<file_system> m_files;
--- a/src/rules/routing_table.cpp
+++ b/src/rules/routing_table.cpp
@@ -83,4 +83,23 @@
     return match == found->second.end() ? nullptr : *match;
 }
 
+std::vector<region_name> route_index::regionsOf(std::string_view hostname) const
+{
+    const auto found = m_byHostname.find(toLower(hostname.substr(0, hostname.find(':'))));
+    if (found == m_byHostname.end() || std::ranges::any_of(found->second, [](const route *each) { return each->allowedRegions.empty(); })) {
+        return {};
+    }
+    std::set<region_name> any;
+    for (const auto *each : found->second) {
+        any.insert(each->allowedRegions.begin(), each->allowedRegions.end());
+    }
+    std::vector<region_name> common;
+    for (const auto &region : any) {
+        if (std::ranges::all_of(found->second, [&](const route *each) { return isRegionAllowed(each->allowedRegions, region); })) {
+            common.push_back(region);
+        }
+    }
+    return common.empty() ? std::vector<region_name>(any.begin(), any.end()) : common;
+}
+
 } // namespace hornbeampick
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -283,11 +283,37 @@
     entry_host_list hosts({.absentAfter = milliseconds(1500)});
     hosts.recordProgress(entryHost("a", "north"), 0, clock.now());
     hosts.recordProgress(entryHost("b", "south"), 0, clock.now());
-    REQUIRE(hosts.select(region_name("north"), clock.now()).addresses == std::vector<std::string> {"a:80"});
+    REQUIRE(hosts.select({.region = region_name("north")}, clock.now()).addresses == std::vector<std::string> {"a:80"});
     hosts.recordProgress(entryHost("a", "north", false), 0, clock.now());
-    REQUIRE(hosts.select(region_name("north"), clock.now()).addresses == std::vector<std::string> {"b:80"});
+    REQUIRE(hosts.select({.region = region_name("north")}, clock.now()).addresses == std::vector<std::string> {"b:80"});
     clock.advance(milliseconds(1600));
-    REQUIRE(hosts.select(region_name("north"), clock.now()).addresses.empty());
+    REQUIRE(hosts.select({.region = region_name("north")}, clock.now()).addresses.empty());
+}
+
+// A control host that has just started hears of the hosts of other regions first.
+TEST_CASE("entry hosts: a look-up names no other region until hosts have had time to be known", "[announcements][home]")
+{
+    manual_clock clock;
+    entry_host_list hosts({.absentAfter = milliseconds(1500), .startedAt = clock.now()});
+    clock.advance(milliseconds(1000));
+    hosts.recordProgress(entryHost("b", "south"), 0, clock.now());
+    REQUIRE(hosts.select({.region = region_name("north")}, clock.now()).addresses.empty());
+    REQUIRE(hosts.select({.region = region_name("south")}, clock.now()).addresses.size() == 1);
+    clock.advance(milliseconds(500));
+    const auto later = hosts.select({.region = region_name("north")}, clock.now());
+    REQUIRE(later.addresses == std::vector<std::string> {"b:80"});
+    REQUIRE(later.isOutsideRegion);
+}
+
+TEST_CASE("entry hosts: a look-up names only allowed regions beside the caller's own", "[announcements][home]")
+{
+    manual_clock clock;
+    entry_host_list hosts;
+    hosts.recordProgress(entryHost("b", "south"), 0, clock.now());
+    hosts.recordProgress(entryHost("c", "west"), 0, clock.now());
+    const std::vector<region_name> allowed {region_name("west")};
+    REQUIRE(hosts.select({.region = region_name("north"), .allowedRegions = allowed}, clock.now()).addresses == std::vector<std::string> {"c:80"});
+    REQUIRE(hosts.select({.region = region_name("south"), .allowedRegions = allowed}, clock.now()).addresses == std::vector<std::string> {"b:80"});
 }
 
 TEST_CASE("entry hosts: look-ups leave out isolated hosts, unless they are the majority", "[announcements]")
@@ -304,9 +330,9 @@
     record("b", "north", false);
     record("c", "north", false);
     record("d", "south", false);
-    REQUIRE(hosts.select(region_name("north"), clock.now()).addresses == std::vector<std::string> {"b:80", "c:80"});
+    REQUIRE(hosts.select({.region = region_name("north")}, clock.now()).addresses == std::vector<std::string> {"b:80", "c:80"});
     record("b", "north", true);
-    REQUIRE(hosts.select(region_name("north"), clock.now()).addresses == std::vector<std::string> {"a:80", "b:80", "c:80"});
+    REQUIRE(hosts.select({.region = region_name("north")}, clock.now()).addresses == std::vector<std::string> {"a:80", "b:80", "c:80"});
     const std::vector<relay_peer> both {{.address = "c:90", .region = region_name("north")}, {.address = "d:90", .region = region_name("south")}};
     REQUIRE(hosts.relayPeersFor(entryHost("a", "north"), 9, clock.now()) == both);
     REQUIRE(hosts.relayPeersFor(entryHost("x", "south"), 1, clock.now()) == std::vector {both.back()});
--- a/tests/rules/routing_table_test.cpp
+++ b/tests/rules/routing_table_test.cpp
@@ -32,6 +32,25 @@
     REQUIRE(index.find("z.example", "/p/") == nullptr);
 }
 
+// Look-ups know the hostname only.
+TEST_CASE("routes: a hostname is restricted to the regions that all of its routes allow", "[routing][home]")
+{
+    const auto restricted = [](std::string prefix, std::vector<region_name> regions) {
+        auto made = routeOf("r", "x", std::move(prefix));
+        made.allowedRegions = std::move(regions);
+        return made;
+    };
+    const region_name north("north");
+    const region_name south("south");
+    const auto regionsOf
+        = [](std::vector<route> routes) { return route_index(std::make_shared<const routing_table>(tableOf(std::move(routes)))).regionsOf("X:80"); };
+    using regions = std::vector<region_name>;
+    REQUIRE(regionsOf({restricted("/a/", {north}), restricted("/b/", {south, north})}) == regions {north});
+    REQUIRE(regionsOf({restricted("/a/", {north}), restricted("/b/", {south})}) == regions {north, south});
+    REQUIRE(regionsOf({restricted("/a/", {north}), restricted("/b/", {})}).empty());
+    REQUIRE(regionsOf({}).empty());
+}
+
 TEST_CASE("routes: a table that breaks a rule is invalid as a whole", "[routing]")
 {
     REQUIRE(checkRouting(tableOf({routeOf("r", "h", "/")})));
