node: an entry host knows until when its routes were the newest

A host that hears no control host, or only one that is cut off from the leader, could not tell that its routes were outdated. A replica now knows up to when its committed entries are all that were acknowledged (confirmedAt: replies of a majority when it leads, else the last message of the leader with whose commit index it is up to date); a watch answer tells the age, and the entry host keeps a routes lease, counted from when it asked, so that an answer that was long on its way, or that a frozen host reads late, renews nothing. bootNow counts the time of a suspension as well. Releases that do not tell the age count as current, as before.

--- a/include/core/clock.h
+++ b/include/core/clock.h
@@ -22,6 +22,8 @@
 public:
     virtual ~clock_source() = default;
     [[nodiscard]] virtual steady_time now() const = 0;
+    /// Like `now`, but also counts the time in which the machine is suspended. Not comparable to `now`.
+    [[nodiscard]] virtual steady_time bootNow() const = 0;
     [[nodiscard]] virtual wall_ms wallNow() const = 0;
 };
 
@@ -30,6 +32,7 @@
 {
 public:
     [[nodiscard]] steady_time now() const override;
+    [[nodiscard]] steady_time bootNow() const override;
     [[nodiscard]] wall_ms wallNow() const override;
 };
 
--- a/include/replica/replica_core.h
+++ b/include/replica/replica_core.h
@@ -122,6 +122,10 @@
     }
     /// Returns true when this replica leads and has committed an entry of its own term.
     [[nodiscard]] bool hasCommittedInTerm() const;
+    /// Returns a time up to which the committed entries of this replica are known to be all that were acknowledged: by replies of a
+    /// majority when it leads, otherwise by the last message of the leader with whose commit index this replica is up to date. The epoch
+    /// of the clock when there was none.
+    [[nodiscard]] steady_time confirmedAt(steady_time now) const;
     /// Asserts the invariants in debug builds; no effect in release builds.
     void validate() const;
 
@@ -173,6 +177,7 @@
     replica_role m_role = replica_role::follower;
     disk_id m_leader = 0;
     steady_time m_lastLeaderContact {};
+    steady_time m_confirmedAt {};
     steady_time m_electionDeadline {};
     steady_time m_heartbeatDeadline {};
     std::set<disk_id> m_votes;
--- a/include/replica/replica_engine.h
+++ b/include/replica/replica_engine.h
@@ -61,6 +61,8 @@
     std::optional<replica_id> leader;
     replica_config config;
     log_index commit = 0;
+    // A time up to which the applied state is known to be the newest; see `replica_core::confirmedAt`.
+    steady_time confirmedAt {};
 };
 
 /// One replica without its thread. Connects core, ledger, store and formation, and carries out the core's output in the order
--- a/include/rpc/control_client.h
+++ b/include/rpc/control_client.h
@@ -42,6 +42,8 @@
     std::vector<upstream_death> deaths;
     /// Entry hosts through which an isolated watcher can serve.
     std::vector<relay_peer> relayPeers {};
+    /// Time since the state of the control host was known to be the newest.
+    milliseconds stateAge {0};
 };
 
 /// Client for calls to control hosts, addressed as "ip:port". Thread-safe.
--- a/src/codec/control_codec.cpp
+++ b/src/codec/control_codec.cpp
@@ -3,6 +3,9 @@
 #include "codec/peer_codec.h"
 #include "repeated_codec.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace hornbeampick
 {
 
@@ -77,6 +80,7 @@
     message.set_entry_hosts_in_region(value.entryHostsInRegion);
     encodeAll(value.deaths, message.mutable_deaths());
     encodeAll(value.relayPeers, message.mutable_relay_peers());
+    message.set_state_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.stateAge.count(), 0, std::numeric_limits<std::uint32_t>::max())));
     return message;
 }
 
@@ -95,6 +99,7 @@
     answer.entryHostsInRegion = value.entry_hosts_in_region();
     answer.deaths = decodeAll<upstream_death>(value.deaths());
     answer.relayPeers = decodeAll<relay_peer>(value.relay_peers());
+    answer.stateAge = milliseconds(value.state_age_ms());
     return answer;
 }
 
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -333,6 +333,7 @@
             }
             m_hosts.expire(now);
             const auto view = m_replica->view();
+            m_watchServer.setConfirmedAt(view.confirmedAt);
             std::vector<std::string> memberAddresses;
             for (const auto &voter : view.config.voters) {
                 memberAddresses.push_back(voter.address);
--- a/src/node/control_watch.cpp
+++ b/src/node/control_watch.cpp
@@ -116,6 +116,7 @@
         .wait = wait,
     };
     std::size_t deathCount = 0;
+    const auto askedAt = m_parts.clock.bootNow();
     {
         const std::lock_guard guard(m_deathLock);
         query.deaths.assign(m_deaths.begin() + static_cast<std::ptrdiff_t>(host.deathsReported), m_deaths.end());
@@ -128,6 +129,7 @@
     }
     host.deathsReported = deathCount;
     applyAnswer(address, answer.value());
+    m_parts.lease.renew(askedAt - answer.value().stateAge);
     co_return true;
 }
 
--- a/src/node/control_watch.h
+++ b/src/node/control_watch.h
@@ -9,6 +9,7 @@
 #include "steering/poison_registry.h"
 #include "steering/relay_peers.h"
 #include "steering/retry_budget.h"
+#include "steering/routes_lease.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -28,6 +29,7 @@
     retry_budget &retries;
     poison_registry &poison;
     relay_peers &relayPeers;
+    routes_lease &lease;
     clock_source &clock;
 };
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -55,9 +55,10 @@
         , m_dispatch({.region = region_name(m_settings->region())}, m_fleet, m_clock, m_random)
         , m_retries({.tokensPerAttempt = retryRatioShare * m_settings->deployment().retry_ratio(), .initialTokens = 2, .maxTokens = 4})
         , m_link({.megabitsPerSecond = m_settings->link_mbps()})
+        , m_lease({.applyTime = milliseconds(m_settings->deployment().routes_apply_ms())})
         , m_relayPeers(region_name(m_settings->region()), m_random)
         , m_poison({.deathsToQuarantine = deathsToQuarantine, .quarantine = quarantineTime})
-        , m_controlWatch({*m_peers, m_dispatch, m_routes, m_retries, m_poison, m_relayPeers, m_clock}, watchOptions(), m_context)
+        , m_controlWatch({*m_peers, m_dispatch, m_routes, m_retries, m_poison, m_relayPeers, m_lease, m_clock}, watchOptions(), m_context)
         , m_readinessHandler(frontEnds.readiness(*this))
         , m_metricsHandler(m_counters, [this] { refreshMetrics(); })
     {
@@ -73,8 +74,9 @@
 
     status open()
     {
-        auto relay = startRelay({.address = m_settings->front(), .peerAddress = m_settings->rpc(), .threads = m_settings->threads()},
-                                {m_dispatch, m_routes, *m_headerCodec, m_retries, m_poison, *this, m_counters, m_clock, m_reachability, m_relayPeers, m_link});
+        auto relay = startRelay(
+            {.address = m_settings->front(), .peerAddress = m_settings->rpc(), .threads = m_settings->threads()},
+            {m_dispatch, m_routes, *m_headerCodec, m_retries, m_poison, *this, m_counters, m_clock, m_reachability, m_relayPeers, m_link, m_lease});
         if (!relay) {
             return relay.error();
         }
@@ -272,6 +274,7 @@
     dispatcher m_dispatch;
     retry_budget m_retries;
     link_limiter m_link;
+    routes_lease m_lease;
     relay_peers m_relayPeers;
     upstream_reachability m_reachability;
     poison_registry m_poison;
--- a/src/node/watch_server.cpp
+++ b/src/node/watch_server.cpp
@@ -52,6 +52,11 @@
     completeReady();
 }
 
+void watch_server::setConfirmedAt(steady_time confirmedAt)
+{
+    m_confirmedAt = confirmedAt;
+}
+
 void watch_server::setControlHosts(std::vector<std::string> addresses)
 {
     if (*m_controlHosts.get() != addresses) {
@@ -130,6 +135,8 @@
     if (query.watcher.isolated) {
         answer.relayPeers = m_hosts.relayPeersFor(query.watcher, maxRelayPeers, m_clock.now());
     }
+    // Read before the state, which is then at least as new.
+    answer.stateAge = std::chrono::ceil<milliseconds>(m_clock.now() - m_confirmedAt.load());
     const auto state = m_state.get();
     if (state && query.appliedIndex < state->appliedIndex) {
         answer.state = *state;
--- a/src/node/watch_server.h
+++ b/src/node/watch_server.h
@@ -5,6 +5,7 @@
 #include "fleet/entry_host_list.h"
 #include "rpc/control_client.h"
 
+#include <atomic>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -32,6 +33,8 @@
 
     /// Set the latest state of the log and the peer addresses of its members.
     void setState(const ledger_state &state);
+    /// Sets the time up to which the state of the log is known to be the newest.
+    void setConfirmedAt(steady_time confirmedAt);
     void setControlHosts(std::vector<std::string> addresses);
     /// Completes the queries and acknowledgements that are ready or past their deadline. To be called after a change and every few
     /// milliseconds.
@@ -61,6 +64,7 @@
     clock_source &m_clock;
     published<ledger_state> m_state;
     published<std::vector<std::string>> m_controlHosts;
+    std::atomic<steady_time> m_confirmedAt {steady_time {}};
 
     std::mutex m_lock;
     // Guarded by m_lock.
--- a/src/replica/replica_core.cpp
+++ b/src/replica/replica_core.cpp
@@ -169,6 +169,21 @@
     return m_role == replica_role::leader && m_commitIndex >= m_snapshot.index && termAt(m_commitIndex) == m_hardState.term;
 }
 
+steady_time replica_core::confirmedAt(steady_time now) const
+{
+    if (!hasCommittedInTerm()) {
+        return m_confirmedAt;
+    }
+    std::vector<steady_time> contacts;
+    for (const auto &voter : m_config.voters) {
+        const auto progress = m_progress.find(voter.disk);
+        const auto lastReply = progress == m_progress.end() ? steady_time {} : progress->second.lastReply;
+        contacts.push_back(voter.disk == m_options.self.disk ? now : lastReply);
+    }
+    std::ranges::sort(contacts, std::greater<> {});
+    return contacts.at(m_config.majority() - 1);
+}
+
 void replica_core::validate() const
 {
 #ifndef NDEBUG
@@ -253,6 +268,9 @@
     answer.granted = true;
     answer.lastIndex = std::max(matched, m_snapshot.index);
     commitTo(std::min(message.commitIndex, answer.lastIndex));
+    if (message.commitIndex <= m_commitIndex) {
+        m_confirmedAt = now;
+    }
     reply(message, std::move(answer));
 }
 
--- a/src/replica/replica_engine.cpp
+++ b/src/replica/replica_engine.cpp
@@ -280,6 +280,7 @@
         .leader = m_core->leader(),
         .config = m_core->config(),
         .commit = m_core->commitIndex(),
+        .confirmedAt = m_core->confirmedAt(m_clock.now()),
     };
 }
 
--- a/tests/fakes/manual_clock.h
+++ b/tests/fakes/manual_clock.h
@@ -13,6 +13,10 @@
     {
         return m_now;
     }
+    [[nodiscard]] steady_time bootNow() const override
+    {
+        return m_now;
+    }
     [[nodiscard]] wall_ms wallNow() const override
     {
         return m_wall;
