relay: restricted requests are sent by current routes only

The class: a decision is made from knowledge whose age nobody checks. Before each attempt, and once more when a connection was established, the allowed regions are now those of the newest routes of this host, and without a valid routes lease a restricted request is refused at once as not run (routes-outdated, with a Retry-After, since other hosts may know). Other requests are served as before.

--- a/include/core/error.h
+++ b/include/core/error.h
@@ -37,6 +37,7 @@
     callerLeft = 31,
     noRoute = 32,
     notReady = 33,
+    routesOutdated = 34,
     // Claims of idempotency keys.
     claimHeld = 40,
     claimUnavailable = 41,
--- a/include/relay/relay_server.h
+++ b/include/relay/relay_server.h
@@ -12,6 +12,7 @@
 #include "steering/poison_registry.h"
 #include "steering/relay_peers.h"
 #include "steering/retry_budget.h"
+#include "steering/routes_lease.h"
 #include "steering/upstream_reachability.h"
 
 #include <cstddef>
@@ -43,6 +44,7 @@
     upstream_reachability &reachability;
     relay_peers &peers;
     link_limiter &link;
+    routes_lease &lease;
 };
 
 struct relay_options {
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -43,6 +43,7 @@
     error_text {errc::callerLeft, "caller-left", "the caller closed the connection"},
     error_text {errc::noRoute, "no-route", "no route matches the request"},
     error_text {errc::notReady, "not-ready", "this host knows no routes yet"},
+    error_text {errc::routesOutdated, "routes-outdated", "the routes of this host may be outdated, and the request is restricted to regions"},
     error_text {errc::claimHeld, "claim-held", "a request with this key is running or was cut off"},
     error_text {errc::claimUnavailable, "claim-unavailable", "a majority of the claim group cannot be reached"},
     error_text {errc::epochClosed, "epoch-closed", "the epoch of the key is closed"},
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -33,8 +33,8 @@
 constexpr std::uint32_t maxConnectFailures = 3;
 // Retry-After when no routes are known yet: about the time in which a host learns them.
 constexpr milliseconds notReadyRetryAfter {500};
-// Retry-After of a draining host: other hosts can take the request at once.
-constexpr milliseconds stoppingRetryAfter {10};
+// Retry-After when other hosts can take the request at once.
+constexpr milliseconds otherHostRetryAfter {10};
 // Other entry hosts that are tried for one request.
 constexpr std::size_t maxPeerAttempts = 3;
 // A request with less time left than this is not retried: no upstream responds that fast.
@@ -220,7 +220,7 @@
     context.affinityKey = metadata.affinityKey;
     context.routes = m_parts.routes.get();
     if (m_state.refusing) {
-        return {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter};
+        return {.status = 503, .error = errc::stopping, .retryAfter = otherHostRetryAfter};
     }
     if (!context.routes) {
         return {.status = 503, .error = errc::notReady, .retryAfter = notReadyRetryAfter};
@@ -229,6 +229,7 @@
     if (context.matched == nullptr) {
         return {.status = 404, .error = errc::noRoute};
     }
+    context.allowedRegions = context.matched->allowedRegions;
     context.service = chooseService(*context.matched, context.id);
     context.maxAttempts = context.matched->attempts;
     if (m_origin == session_origin::entryHost) {
@@ -240,12 +241,23 @@
     }
     context.deadline = context.arrivedAt + std::min(metadata.callerTimeout.value_or(context.matched->timeout), context.matched->timeout);
     context.usualRunTime = m_parts.dispatch.usualServiceTime(context.service);
-    if (!mayStartAttempt(m_state.drain, context, context.arrivedAt)) {
-        return {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter};
+    if (const auto refused = checkAttempt(context, context.arrivedAt); refused != errc::ok) {
+        return {.status = 503, .error = refused, .retryAfter = otherHostRetryAfter};
     }
     return {.status = 200, .error = errc::ok};
 }
 
+// Returns why no attempt may start now although another host may take the request: stopping or, when the request is restricted to regions
+// and the routes of this host may be outdated, routesOutdated.
+errc relay_session::checkAttempt(request_context &context, steady_time now) const
+{
+    updateAllowedRegions(context, m_parts.routes);
+    if (!mayStartAttempt(m_state.drain, context, now)) {
+        return errc::stopping;
+    }
+    return mayHandleRestricted(m_parts, context) ? errc::ok : errc::routesOutdated;
+}
+
 // Buffers the caller's body up to the limit. Returns false when it could not be read; unless the caller timed out or
 // disconnected, an error response has then been sent.
 asio::awaitable<bool> relay_session::bufferBody(request_context &context)
@@ -275,7 +287,7 @@
         .targetLatency = matched.targetLatency,
         .elapsed = std::chrono::duration_cast<milliseconds>(now - context.arrivedAt),
         .remaining = context.remaining(now),
-        .allowedRegions = matched.allowedRegions,
+        .allowedRegions = context.allowedRegions,
         .tried = context.tried,
     });
 }
@@ -289,11 +301,11 @@
     upstream_attempt attempt(m_parts, m_pool, m_state.drain, m_stream, m_buffer);
     while (true) {
         const auto now = m_parts.clock.now();
-        if (!mayStartAttempt(m_state.drain, context, now)) {
+        if (const auto refused = checkAttempt(context, now); refused != errc::ok) {
             if (outcome.response || context.mayHaveRun) {
                 break;
             }
-            co_return co_await sendLocalResponse(&context, {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter});
+            co_return co_await sendLocalResponse(&context, {.status = 503, .error = refused, .retryAfter = otherHostRetryAfter});
         }
         const bool isRetry = context.attemptsSent > 0;
         if (isRetry && !m_parts.retries.take(context.service)) {
@@ -367,13 +379,13 @@
     bool isRepeat = false;
     while (mayTryPeer) {
         const auto now = m_parts.clock.now();
-        if (tried.size() >= maxPeerAttempts || !mayStartAttempt(m_state.drain, context, now) || context.remaining(now) < minRetryTime) {
+        if (tried.size() >= maxPeerAttempts || checkAttempt(context, now) != errc::ok || context.remaining(now) < minRetryTime) {
             break;
         }
         if (isRepeat && !m_parts.retries.take(context.service)) {
             break;
         }
-        const auto peer = m_parts.peers.acquire({.service = context.service, .allowedRegions = context.matched->allowedRegions, .tried = tried}, now);
+        const auto peer = m_parts.peers.acquire({.service = context.service, .allowedRegions = context.allowedRegions, .tried = tried}, now);
         if (!peer) {
             if (isRepeat) {
                 m_parts.retries.refund(context.service);
@@ -383,6 +395,7 @@
         logRestricted("restricted-request-passed-on", context, peer->region, peer->address);
         tried.push_back(peer->address);
         grant.address = peer->address;
+        grant.region = peer->region;
         grant.grantedAt = now;
         m_cancellableAttempt = context.matched->runOnce ? nullptr : &attempt;
         auto attemptOutcome = co_await attempt.runThroughPeer(context, grant);
@@ -427,12 +440,11 @@
 // Logs where a request with allowed regions goes, with the versions of the routes that decided and that are in force by now.
 void relay_session::logRestricted(std::string_view event, const request_context &context, const region_name &region, std::string_view address) const
 {
-    const auto &allowed = context.matched->allowedRegions;
-    if (allowed.empty()) {
+    if (context.allowedRegions.empty()) {
         return;
     }
     std::string names;
-    for (const auto &each : allowed) {
+    for (const auto &each : context.allowedRegions) {
         names.append(names.empty() ? "" : ",").append(each.view());
     }
     const auto inForce = m_parts.routes.get();
@@ -491,7 +503,7 @@
     }
     if (!outcome.response) {
         if (!context.mayHaveRun && m_state.drain.get()) {
-            co_return co_await sendLocalResponse(&context, {.status = 503, .error = errc::stopping, .retryAfter = stoppingRetryAfter});
+            co_return co_await sendLocalResponse(&context, {.status = 503, .error = errc::stopping, .retryAfter = otherHostRetryAfter});
         }
         if (!context.mayHaveRun) {
             const bool isFromPeer = outcome.grant.instance.empty();
--- a/src/relay/relay_session.h
+++ b/src/relay/relay_session.h
@@ -64,6 +64,7 @@
     boost::asio::awaitable<bool> tryUpstreams(request_context &context);
     boost::asio::awaitable<bool> tryPeers(request_context &context, attempt_outcome outcome);
     [[nodiscard]] local_response matchRoute(request_context &context) const;
+    [[nodiscard]] errc checkAttempt(request_context &context, steady_time now) const;
     [[nodiscard]] dispatch_result chooseUpstream(const request_context &context, steady_time now);
     [[nodiscard]] bool mayRetry(const request_context &context, const attempt_outcome &outcome);
     void logRestricted(std::string_view event, const request_context &context, const region_name &region, std::string_view address) const;
--- a/src/relay/request_context.cpp
+++ b/src/relay/request_context.cpp
@@ -22,6 +22,16 @@
     return matched.services.back().service;
 }
 
+void updateAllowedRegions(request_context &context, const published<route_index> &inForce)
+{
+    const auto newest = inForce.get();
+    const auto &request = context.parser.get();
+    const auto *found = newest->find(request[boost::beast::http::field::host], request.target());
+    if (found != nullptr) {
+        context.allowedRegions = found->allowedRegions;
+    }
+}
+
 bool mayStartAttempt(const published<drain_schedule> &drain, const request_context &context, steady_time now)
 {
     const auto schedule = drain.get();
--- a/src/relay/request_context.h
+++ b/src/relay/request_context.h
@@ -26,6 +26,8 @@
     parser_type parser;
     std::shared_ptr<const route_index> routes;
     const route *matched = nullptr;
+    // Regions in which the request may be handled, by the routes in force before its latest attempt; empty allows all.
+    std::vector<region_name> allowedRegions;
     service_name service;
     std::string id;
     std::string affinityKey;
@@ -62,6 +64,9 @@
 /// Returns the service for the request with this id, according to the service weights of its route. The same id gives the same service.
 const service_name &chooseService(const route &matched, std::string_view id);
 
+/// Updates the allowed regions of a matched request to the routes in force. They stay as they are when its route was removed.
+void updateAllowedRegions(request_context &context, const published<route_index> &inForce);
+
 /// Returns false when this host drains and could end before the request does. `drain` is null until the drain begins. Once false for a
 /// request, it stays false.
 bool mayStartAttempt(const published<drain_schedule> &drain, const request_context &context, steady_time now);
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -70,6 +70,11 @@
 
 } // namespace
 
+bool mayHandleRestricted(const relay_parts &parts, const request_context &context)
+{
+    return context.allowedRegions.empty() || parts.lease.isValid(parts.clock.bootNow());
+}
+
 upstream_attempt::upstream_attempt(const relay_parts &parts, upstream_connection_pool &pool, const published<drain_schedule> &drain,
                                    beast::tcp_stream &callerStream, beast::flat_buffer &callerBuffer)
     : m_parts(parts)
@@ -124,7 +129,9 @@
     }
     const auto now = m_parts.clock.now();
     // A new connection may have taken long to establish.
-    if (!mayStartAttempt(m_drain, context, now)) {
+    updateAllowedRegions(context, m_parts.routes);
+    const bool isStillAllowed = isRegionAllowed(context.allowedRegions, grant.region) && mayHandleRestricted(m_parts, context);
+    if (!isStillAllowed || !mayStartAttempt(m_drain, context, now)) {
         outcome.isTooLate = true;
         co_return outcome;
     }
--- a/src/relay/upstream_attempt.h
+++ b/src/relay/upstream_attempt.h
@@ -41,7 +41,7 @@
     dispatch_grant grant;
     // Bytes of the request may have reached the upstream, and it did not state that it has not executed the request.
     bool mayHaveRun = false;
-    // This host drains, and the time in which the request could start ended before any of it was sent.
+    // Before any of the request was sent, the time in which it could start ended, or its allowed regions changed.
     bool isTooLate = false;
     // The upstream's address refuses connections: the upstream died during the attempt.
     bool upstreamDied = false;
@@ -57,6 +57,9 @@
     errc callerError = errc::ok;
 };
 
+/// Returns false when the request is restricted to regions and the routes of this host may be outdated.
+[[nodiscard]] bool mayHandleRestricted(const relay_parts &parts, const request_context &context);
+
 /// Sends one request to one upstream and reads the response. Single-threaded; the attempts of one request use it one after another.
 class upstream_attempt
 {
--- a/tests/fakes/relay_fixture.h
+++ b/tests/fakes/relay_fixture.h
@@ -46,6 +46,7 @@
     upstream_reachability reachability;
     relay_peers peers {region_name("home"), random};
     link_limiter link;
+    routes_lease lease;
     std::unique_ptr<relay_server> server;
 
     explicit relay_fixture(const std::vector<scripted_upstream *> &upstreams = {}, bool knowsRoutes = true, double linkMbps = 0);
