--- a/tests/relay/drain_test.cpp
+++ b/tests/relay/drain_test.cpp
@@ -42,6 +42,7 @@
     upstream_reachability reachability;
     relay_peers peers {region_name("home"), random};
     link_limiter link {{.megabitsPerSecond = 0}};
+    routes_lease lease;
     std::unique_ptr<relay_server> server;
 
     explicit draining_relay(const scripted_upstream &upstream)
@@ -64,7 +65,7 @@
                           .services = {{service_name("s"), 1}}}};
         routes.set(std::make_shared<const route_index>(table));
         auto started = startRelay({.address = "127.0.0.1:0", .threads = 1},
-                                  {steering, routes, headerCodec, retries, poison, deaths, counters, clock, reachability, peers, link});
+                                  {steering, routes, headerCodec, retries, poison, deaths, counters, clock, reachability, peers, link, lease});
         REQUIRE(started);
         server = std::move(started.value());
     }
