fleet: after a pause in all queries a look-up waits for a region's hosts again

A control host that was frozen or cut off from all entry hosts finds them absent when it is back, and named hosts of other regions while the caller's had not queried it yet: the same as just after a start. The window after a start now begins anew with the first query after such a pause.

--- a/include/fleet/entry_host_list.h
+++ b/include/fleet/entry_host_list.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -18,7 +19,8 @@
     milliseconds absentAfter {1500};
     /// An entry host without a watch query for this long is removed and no longer counts when limits are divided among hosts.
     milliseconds removedAfter {15000};
-    /// Start of this control host. Until `absentAfter` has passed, a region may have hosts that have not queried it yet.
+    /// Start of this control host. Until `absentAfter` has passed, and again after a pause in all queries, a region may have hosts that have
+    /// not queried it yet.
     steady_time startedAt = steady_time::min();
 };
 
@@ -83,6 +85,9 @@
     mutable std::mutex m_lock;
     // Guarded by m_lock.
     std::map<host_name, record> m_records;
+    std::optional<steady_time> m_lastQueryAt;
+    // Since when hosts could query this control host without a pause.
+    steady_time m_listeningSince;
 };
 
 } // namespace hornbeampick
--- a/src/fleet/entry_host_list.cpp
+++ b/src/fleet/entry_host_list.cpp
@@ -11,12 +11,17 @@
 
 entry_host_list::entry_host_list(const entry_host_list_options &options)
     : m_options(options)
+    , m_listeningSince(options.startedAt)
 {
 }
 
 void entry_host_list::recordProgress(const entry_host &host, std::uint64_t position, steady_time now)
 {
     const std::lock_guard guard(m_lock);
+    if (m_lastQueryAt && now >= *m_lastQueryAt + m_options.absentAfter) {
+        m_listeningSince = now;
+    }
+    m_lastQueryAt = now;
     auto &known = m_records[host.host];
     if (host.incarnation != known.host.incarnation) {
         known.position = 0;
@@ -28,10 +33,10 @@
 
 entry_selection entry_host_list::select(const entry_host_query &query, steady_time now) const
 {
-    const bool isComplete = now - m_options.absentAfter >= m_options.startedAt;
     std::vector<const entry_host *> elsewhere;
     std::vector<const entry_host *> inRegion;
     const std::lock_guard guard(m_lock);
+    const bool isComplete = now - m_options.absentAfter >= m_listeningSince;
     for (const auto &[name, known] : m_records) {
         if (!isServing(known, now)) {
             continue;
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -303,6 +303,10 @@
     const auto later = hosts.select({.region = region_name("north")}, clock.now());
     REQUIRE(later.addresses == std::vector<std::string> {"b:80"});
     REQUIRE(later.isOutsideRegion);
+    // It was frozen or cut off from all entry hosts.
+    clock.advance(milliseconds(4000));
+    hosts.recordProgress(entryHost("b", "south"), 0, clock.now());
+    REQUIRE(hosts.select({.region = region_name("north")}, clock.now()).addresses.empty());
 }
 
 TEST_CASE("entry hosts: a look-up names only allowed regions beside the caller's own", "[announcements][home]")
