node: a held watch answer confirms the routes up to when it is sent

The age of a state was taken when the answer was sent but counted from when the entry host had asked, so that the time of the long poll was lost from the lease, up to half a second; with half a second of queue on a link, or during an election, hosts in touch could have refused restricted requests. The age now refers to the arrival of the query and is negative when the state was confirmed while the answer was held; that is still a lower bound. Besides, a follower confirms nothing until the leader has committed an entry of its term: a new leader's commit index may lack what was acknowledged before.

--- a/include/rpc/control_client.h
+++ b/include/rpc/control_client.h
@@ -42,7 +42,8 @@
     std::vector<upstream_death> deaths;
     /// Entry hosts through which an isolated watcher can serve.
     std::vector<relay_peer> relayPeers {};
-    /// Time since the state of the control host was known to be the newest.
+    /// For how long, when the query arrived, the state of the control host had not been known to be the newest. Negative when it was
+    /// confirmed later, while the answer was held.
     milliseconds stateAge {0};
 };
 
--- a/src/codec/control_codec.cpp
+++ b/src/codec/control_codec.cpp
@@ -80,7 +80,8 @@
     message.set_entry_hosts_in_region(value.entryHostsInRegion);
     encodeAll(value.deaths, message.mutable_deaths());
     encodeAll(value.relayPeers, message.mutable_relay_peers());
-    message.set_state_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.stateAge.count(), 0, std::numeric_limits<std::uint32_t>::max())));
+    using limits = std::numeric_limits<std::int32_t>;
+    message.set_state_age_ms(static_cast<std::int32_t>(std::clamp<std::int64_t>(value.stateAge.count(), limits::min(), limits::max())));
     return message;
 }
 
--- a/src/node/watch_server.cpp
+++ b/src/node/watch_server.cpp
@@ -32,7 +32,7 @@
     const auto deadline = now + query.wait;
     {
         const std::lock_guard guard(m_lock);
-        m_pendingQueries.push_back({.query = std::move(query), .done = std::move(done), .deadline = deadline});
+        m_pendingQueries.push_back({.query = std::move(query), .done = std::move(done), .arrivedAt = now, .deadline = deadline});
     }
     completeReady();
 }
@@ -87,7 +87,7 @@
         }
     }
     for (const auto &each : answered) {
-        each.done(makeAnswer(each.query));
+        each.done(makeAnswer(each));
     }
     for (const auto &each : acknowledged) {
         each.done(m_hosts.allCaughtUp(each.position, each.required, now));
@@ -105,7 +105,7 @@
         acknowledged.swap(m_pendingAcknowledgements);
     }
     for (const auto &each : answered) {
-        each.done(makeAnswer(each.query));
+        each.done(makeAnswer(each));
     }
     for (const auto &each : acknowledged) {
         each.done(false);
@@ -118,8 +118,9 @@
     return query.source != m_incarnation || query.position < m_announcements.position() || (state && query.appliedIndex < state->appliedIndex);
 }
 
-watch_answer watch_server::makeAnswer(const watch_query &query) const
+watch_answer watch_server::makeAnswer(const pending_query &pending) const
 {
+    const auto &query = pending.query;
     const auto knownPosition = query.source == m_incarnation ? query.position : 0;
     // Read before the changes: a change that arrives in between is then sent twice rather than lost.
     const auto position = m_announcements.position();
@@ -136,7 +137,7 @@
         answer.relayPeers = m_hosts.relayPeersFor(query.watcher, maxRelayPeers, m_clock.now());
     }
     // Read before the state, which is then at least as new.
-    answer.stateAge = std::chrono::ceil<milliseconds>(m_clock.now() - m_confirmedAt.load());
+    answer.stateAge = std::chrono::ceil<milliseconds>(pending.arrivedAt - m_confirmedAt.load());
     const auto state = m_state.get();
     if (state && query.appliedIndex < state->appliedIndex) {
         answer.state = *state;
--- a/src/node/watch_server.h
+++ b/src/node/watch_server.h
@@ -46,6 +46,7 @@
     struct pending_query {
         watch_query query;
         answer_done done;
+        steady_time arrivedAt {};
         steady_time deadline {};
     };
     struct pending_acknowledgement {
@@ -56,7 +57,7 @@
     };
 
     [[nodiscard]] bool hasChangesFor(const watch_query &query) const;
-    [[nodiscard]] watch_answer makeAnswer(const watch_query &query) const;
+    [[nodiscard]] watch_answer makeAnswer(const pending_query &pending) const;
 
     std::uint64_t m_incarnation;
     announcement_log &m_announcements;
--- a/src/replica/replica_core.cpp
+++ b/src/replica/replica_core.cpp
@@ -268,7 +268,8 @@
     answer.granted = true;
     answer.lastIndex = std::max(matched, m_snapshot.index);
     commitTo(std::min(message.commitIndex, answer.lastIndex));
-    if (message.commitIndex <= m_commitIndex) {
+    // Until a new leader has committed an entry of its term, its commit index may lack entries that were acknowledged before.
+    if (message.commitIndex <= m_commitIndex && termAt(m_commitIndex) == message.term) {
         m_confirmedAt = now;
     }
     reply(message, std::move(answer));
--- a/tests/replica/replica_engine_test.cpp
+++ b/tests/replica/replica_engine_test.cpp
@@ -764,6 +764,29 @@
     CHECK(files.read("identity").value() == written);
 }
 
+// Entry hosts decide on regions by what a replica says is the newest.
+TEST_CASE("replica: a host that is cut off from the others confirms its state no longer", "[replica][home]")
+{
+    replica_cluster cluster(3, firstSeed);
+    cluster.run(milliseconds(1000));
+    const auto former = *cluster.leader();
+    const auto ageOf = [&](std::size_t host) { return cluster.clock().now() - cluster.engine(host)->view().confirmedAt; };
+    for (std::size_t host = 0; host < cluster.size(); ++host) {
+        REQUIRE(ageOf(host) < milliseconds(300));
+    }
+    for (std::size_t host = 0; host < cluster.size(); ++host) {
+        cluster.cut(former, host, host != former);
+        cluster.cut(host, former, host != former);
+    }
+    cluster.run(milliseconds(5000));
+    REQUIRE(ageOf(former) > milliseconds(4900));
+    REQUIRE(ageOf((former + 1) % 3) < milliseconds(300));
+    REQUIRE(ageOf((former + 2) % 3) < milliseconds(300));
+    cluster.healAll();
+    cluster.run(milliseconds(2000));
+    REQUIRE(ageOf(former) < milliseconds(300));
+}
+
 TEST_CASE("replica: a host at another address takes the place of a voter that is gone for good", "[replica]")
 {
     replica_cluster cluster(4, firstSeed, {.bootstrapHosts = 3});
--- a/tests/rpc/control_codec_test.cpp
+++ b/tests/rpc/control_codec_test.cpp
@@ -22,3 +22,13 @@
     REQUIRE(decoded.entryHosts == answer.entryHosts);
     REQUIRE(decoded.deaths == answer.deaths);
 }
+
+TEST_CASE("control codec: the age of a state is told with its sign, and is 0 from releases that do not tell", "[announcements][home]")
+{
+    for (const auto age : {milliseconds(700), milliseconds(-450)}) {
+        schema::watch_reply message;
+        REQUIRE(message.ParseFromString(encode(watch_answer {.stateAge = age}).SerializeAsString()));
+        REQUIRE(decode(message).stateAge == age);
+    }
+    REQUIRE(decode(schema::watch_reply()).stateAge == milliseconds(0));
+}
