relay: a retry keeps the regions of its route when another route matches by then

Regions of the routes in force were looked up by path again. When a route was removed, one with a shorter prefix matched, whose regions are those of other requests: a retry could run the old route's service in a region that no version allows for it. They are now taken only from the same route while it still sends to the service, and a peer is told the version that decided. The test of a host that hears no control host now also checks the code, Retry-After and that no upstream was used.

--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -455,7 +455,7 @@
                     {"region", region.string()},
                     {"address", std::string(address)},
                     {"fromEntryHost", m_origin == session_origin::entryHost},
-                    {"routesVersion", static_cast<std::int64_t>(context.routes->table().version)},
+                    {"routesVersion", static_cast<std::int64_t>(context.regionsVersion)},
                     {"versionInForce", static_cast<std::int64_t>(inForce ? inForce->table().version : 0)}});
 }
 
--- a/src/relay/request_context.cpp
+++ b/src/relay/request_context.cpp
@@ -1,5 +1,6 @@
 #include "request_context.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace hornbeampick
@@ -27,7 +28,9 @@
     const auto newest = inForce.get();
     const auto &request = context.parser.get();
     const auto *found = newest->find(request[boost::beast::http::field::host], request.target());
-    if (found != nullptr) {
+    context.regionsVersion = newest->table().version;
+    const bool isSameRoute = found != nullptr && found->name == context.matched->name;
+    if (isSameRoute && std::ranges::find(found->services, context.service, &service_weight::service) != found->services.end()) {
         context.allowedRegions = found->allowedRegions;
     }
 }
--- a/src/relay/request_context.h
+++ b/src/relay/request_context.h
@@ -28,6 +28,8 @@
     const route *matched = nullptr;
     // Regions in which the request may be handled, by the routes in force before its latest attempt; empty allows all.
     std::vector<region_name> allowedRegions;
+    // Version of these routes.
+    std::uint64_t regionsVersion = 0;
     service_name service;
     std::string id;
     std::string affinityKey;
@@ -64,7 +66,8 @@
 /// Returns the service for the request with this id, according to the service weights of its route. The same id gives the same service.
 const service_name &chooseService(const route &matched, std::string_view id);
 
-/// Updates the allowed regions of a matched request to the routes in force. They stay as they are when its route was removed.
+/// Updates the allowed regions of a matched request to the routes in force. They stay as they are when its route was
+/// removed or sends to other services by now.
 void updateAllowedRegions(request_context &context, const published<route_index> &inForce);
 
 /// Returns false when this host drains and could end before the request does. `drain` is null until the drain begins. Once false for a
--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -176,7 +176,7 @@
     const auto remainingTime = std::max(context.remaining(m_parts.clock.now()), milliseconds(1));
     std::string peerFields;
     if (m_throughPeer) {
-        encodePeerRequest({.attempts = context.maxAttempts - context.attemptsSent, .routesVersion = context.routes->table().version}, peerFields);
+        encodePeerRequest({.attempts = context.maxAttempts - context.attemptsSent, .routesVersion = context.regionsVersion}, peerFields);
     }
     const std::string head = makeUpstreamRequestHead(context.parser.get().base(), framing, m_parts.headerCodec,
                                                      {.instance = grant.instance, .timeLeft = remainingTime}, peerFields);
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -764,6 +764,11 @@
     }
     REQUIRE(awaitCondition([&] { return fixture.sendTo(0, "south") == 503; }));
     REQUIRE(fixture.sendTo(0, "any") == 200);
+    const auto before = fixture.north.requests() + fixture.south.requests();
+    const auto refused = callHttp(fixture.fleet.front(0), "GET", "/1", "", {{"Host", "south"}, {"Request-Id", "id"}, {"Deadline-Ms", "2000"}});
+    REQUIRE(refused.body.find("routes-outdated") != std::string::npos);
+    REQUIRE_FALSE(refused.retryAfter.empty());
+    REQUIRE(fixture.north.requests() + fixture.south.requests() == before);
     for (std::size_t host = 0; host < node_fixture::controlHosts; ++host) {
         fixture.fleet.start("control-" + std::to_string(host));
     }
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -901,6 +901,35 @@
     REQUIRE(first.requests() + second.requests() == 1);
 }
 
+// A route with a shorter prefix matches once a longer one is removed; its regions are those of other requests.
+TEST_CASE("relay: a retry keeps the regions of its route when another route matches by then", "[relay][home]")
+{
+    relay_fixture *relay = nullptr;
+    const auto refuseAndRemove = [&](const received_request &request, scripted_upstream::socket &to) {
+        auto table = std::make_shared<routing_table>(relay->routes.get()->table());
+        ++table->version;
+        table->routes.front().name = "other";
+        table->routes.front().pathPrefix = "/";
+        table->routes.front().allowedRegions = {region_name("away")};
+        table->routes.resize(1);
+        relay->routes.set(std::make_shared<const route_index>(table));
+        scripted_upstream::write(to, notRunResponse(request));
+        return true;
+    };
+    scripted_upstream first(refuseAndRemove);
+    scripted_upstream second(refuseAndRemove);
+    relay_fixture fixture({&first, &second});
+    relay = &fixture;
+    auto restricted = std::make_shared<routing_table>(fixture.routes.get()->table());
+    for (auto &each : restricted->routes) {
+        each.allowedRegions = {region_name("home")};
+    }
+    fixture.routes.set(std::make_shared<const route_index>(restricted));
+    caller client(fixture);
+    REQUIRE(client.exchange("GET", "/again/1").result_int() == 503);
+    REQUIRE(first.requests() + second.requests() == 2);
+}
+
 TEST_CASE("relay: what one entry host may have run goes to no other", "[relay][peers]")
 {
     scripted_upstream broken([](const received_request &, scripted_upstream::socket &) { return false; });
