--- a/tests/integration/upgrade_test.cpp
+++ b/tests/integration/upgrade_test.cpp
@@ -422,8 +422,11 @@
     std::this_thread::sleep_for(routesBound);
     CHECK(fixture.servesNewestRoutes());
     REQUIRE(fixture.takeBack("north-b"));
-    CHECK(fixture.hasRun("north-b", 10));
+    const bool isUsedAgain = fixture.hasRun("north-b", 10);
+    INFO(fleet.logs());
+    CHECK(isUsedAgain);
     fixture.stopLoad();
+    INFO(fleet.logLinesWith("north-b"));
     INFO(fleet.logLinesWith("south-b"));
     CHECK(fixture.violations() == "");
     CHECK(fixture.served() * 10 > fixture.asked() * 9);
