routes: download is a kind of route, and what may be repeated follows from the kind

Now: one enumeration in the schema (request_kind), decoded once in the adapter; isRepeatable() is the one place that says what may be repeated. run_once stays in stored routes, so that former builds still agree on it, and a kind of a later build counts as what that build says of its repetition. An unknown kind is refused as before, now with the route's name and the value in the log line and in the answer. Tests: 'platform: every kind of route that the platform names is accepted...', 'an unknown kind of route is refused with the route's name and the value', 'a download route that cannot be served...', two on stored routes of other builds. The first fails on the code before, where the adapter refuses the value.

--- a/include/rules/routing_table.h
+++ b/include/rules/routing_table.h
@@ -28,14 +28,29 @@
     bool operator==(const service_weight &) const = default;
 };
 
+/// What a route carries, which decides whether its requests may be executed more than once.
+enum class request_kind : std::uint8_t {
+    // Must not be executed more than once.
+    runOnce,
+    // Reads and writes with short responses.
+    idempotent,
+    // Idempotent reads with large responses.
+    download,
+};
+
+/// Returns true when requests of this kind may be executed more than once.
+[[nodiscard]] constexpr bool isRepeatable(request_kind kind)
+{
+    return kind != request_kind::runOnce;
+}
+
 /// A route: the requests to a hostname and path prefix, and how they are handled.
 struct route {
     std::string name;
     std::string hostname;
     // Begins and ends with a slash.
     std::string pathPrefix;
-    // A request must not be executed more than once.
-    bool runOnce = true;
+    request_kind kind = request_kind::runOnce;
     milliseconds timeout {5000};
     milliseconds targetLatency {1000};
     // Priority; 0 is the highest.
--- a/src/codec/replica_codec.cpp
+++ b/src/codec/replica_codec.cpp
@@ -151,13 +151,37 @@
 namespace
 {
 
+schema::request_kind encode(request_kind value)
+{
+    switch (value) {
+    case request_kind::runOnce:
+        return schema::request_run_once;
+    case request_kind::idempotent:
+        return schema::request_idempotent;
+    case request_kind::download:
+        return schema::request_download;
+    }
+    return schema::request_run_once;
+}
+
+// A route without a kind comes from a release that only knows `run_once`, one of an unknown kind from a later release, which sets
+// `run_once` for this one.
+request_kind decodeKind(const schema::route &value)
+{
+    if (value.run_once()) {
+        return request_kind::runOnce;
+    }
+    return value.kind() == schema::request_download ? request_kind::download : request_kind::idempotent;
+}
+
 schema::route encode(const route &value)
 {
     schema::route message;
     message.set_name(value.name);
     message.set_hostname(value.hostname);
     message.set_path_prefix(value.pathPrefix);
-    message.set_run_once(value.runOnce);
+    message.set_run_once(!isRepeatable(value.kind));
+    message.set_kind(encode(value.kind));
     message.set_timeout_ms(static_cast<std::uint32_t>(value.timeout.count()));
     message.set_target_latency_ms(static_cast<std::uint32_t>(value.targetLatency.count()));
     message.set_rank(value.priority);
@@ -180,7 +204,7 @@
         .name = value.name(),
         .hostname = value.hostname(),
         .pathPrefix = value.path_prefix(),
-        .runOnce = value.run_once(),
+        .kind = decodeKind(value),
         .timeout = milliseconds(value.timeout_ms()),
         .targetLatency = milliseconds(value.target_latency_ms()),
         .priority = value.rank(),
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -331,7 +331,7 @@
         } else {
             m_parts.retries.onFirstAttempt(context.service);
         }
-        m_cancellableAttempt = context.matched->runOnce ? nullptr : &attempt;
+        m_cancellableAttempt = isRepeatable(context.matched->kind) ? &attempt : nullptr;
         auto attemptOutcome = co_await attempt.run(context, *lastGrant);
         m_cancellableAttempt = nullptr;
         const auto ejectedFor = m_parts.dispatch.finish(*lastGrant, attemptOutcome.end, attemptOutcome.load);
@@ -397,7 +397,7 @@
         grant.address = peer->address;
         grant.region = peer->region;
         grant.grantedAt = now;
-        m_cancellableAttempt = context.matched->runOnce ? nullptr : &attempt;
+        m_cancellableAttempt = isRepeatable(context.matched->kind) ? &attempt : nullptr;
         auto attemptOutcome = co_await attempt.runThroughPeer(context, grant);
         m_cancellableAttempt = nullptr;
         m_parts.peers.release(peer->address, context.service, toPeerOutcome(attemptOutcome.end), m_parts.clock.now());
@@ -428,7 +428,7 @@
         return true;
     case dispatch_outcome::failed:
     case dispatch_outcome::broke:
-        return !context.matched->runOnce;
+        return isRepeatable(context.matched->kind);
     case dispatch_outcome::answered:
     case dispatch_outcome::timedOut:
     case dispatch_outcome::abandoned:
--- a/tests/fakes/relay_fixture.cpp
+++ b/tests/fakes/relay_fixture.cpp
@@ -43,9 +43,27 @@
         table->services = {{.name = service_name("s")}};
         const std::vector<service_weight> services {{service_name("s"), 1}};
         table->routes = {
-            {.name = "once", .hostname = "x", .pathPrefix = "/once/", .runOnce = true, .timeout = milliseconds(3000), .attempts = 3, .services = services},
-            {.name = "again", .hostname = "x", .pathPrefix = "/again/", .runOnce = false, .timeout = milliseconds(3000), .attempts = 3, .services = services},
-            {.name = "short", .hostname = "x", .pathPrefix = "/short/", .runOnce = true, .timeout = milliseconds(300), .attempts = 3, .services = services},
+            {.name = "once",
+             .hostname = "x",
+             .pathPrefix = "/once/",
+             .kind = request_kind::runOnce,
+             .timeout = milliseconds(3000),
+             .attempts = 3,
+             .services = services},
+            {.name = "again",
+             .hostname = "x",
+             .pathPrefix = "/again/",
+             .kind = request_kind::idempotent,
+             .timeout = milliseconds(3000),
+             .attempts = 3,
+             .services = services},
+            {.name = "short",
+             .hostname = "x",
+             .pathPrefix = "/short/",
+             .kind = request_kind::runOnce,
+             .timeout = milliseconds(300),
+             .attempts = 3,
+             .services = services},
         };
         routes.set(std::make_shared<const route_index>(table));
     }
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -53,13 +53,13 @@
     REQUIRE(read.version == 7);
     REQUIRE(read.document == body);
     REQUIRE(read.routes.size() == 2);
-    REQUIRE(read.routes[0].runOnce);
+    REQUIRE(read.routes[0].kind == request_kind::runOnce);
     REQUIRE(read.routes[0].sticky);
     REQUIRE(read.routes[0].priority == 1);
     REQUIRE(read.routes[0].attempts == 2);
     REQUIRE(read.routes[0].timeout == milliseconds(1500));
     REQUIRE(read.routes[0].services == std::vector<service_weight> {{service_name("a"), 1}});
-    REQUIRE_FALSE(read.routes[1].runOnce);
+    REQUIRE(read.routes[1].kind == request_kind::idempotent);
     REQUIRE(read.routes[1].allowedRegions == std::vector {region_name("north")});
     REQUIRE(read.routes[1].services == std::vector<service_weight> {{service_name("a"), 90}, {service_name("b"), 10}});
     REQUIRE(read.services[0].warmup == milliseconds(3000));
@@ -89,6 +89,51 @@
     REQUIRE(parseRouting(configurationOf(bad)).error() == errc::routingInvalid);
 }
 
+// A value that the codec did not know made every configuration invalid, and nothing was served.
+TEST_CASE("platform: every kind of route that the platform names is accepted, and decides whether requests may be repeated", "[platform][download]")
+{
+    struct named_kind {
+        std::string value;
+        request_kind kind;
+        bool repeatable = false;
+    };
+    const std::vector<named_kind> kinds {{.value = "idempotent", .kind = request_kind::idempotent, .repeatable = true},
+                                         {.value = "non_idempotent", .kind = request_kind::runOnce, .repeatable = false},
+                                         {.value = "download", .kind = request_kind::download, .repeatable = true}};
+    for (const auto &[value, kind, repeatable] : kinds) {
+        CAPTURE(value);
+        const auto table = parseRouting(configurationOf(R"(["r1","x.example","/p/",")" + value + R"(",1500,400,1,"a",2,true,[],null])"));
+        REQUIRE(table);
+        REQUIRE(table.value().routes[0].kind == kind);
+        REQUIRE(isRepeatable(kind) == repeatable);
+        REQUIRE(checkRouting(table.value()));
+    }
+}
+
+TEST_CASE("platform: an unknown kind of route is refused with the route's name and the value", "[platform][download]")
+{
+    std::string problem;
+    REQUIRE(parseRouting(configurationOf(R"(["r1","x.example","/p/","upload",1500,400,1,"a",2,true,[],null])"), &problem).error() == errc::routingInvalid);
+    REQUIRE(problem.find("r1") != std::string::npos);
+    REQUIRE(problem.find("upload") != std::string::npos);
+    REQUIRE(encodeError(make_error_code(errc::routingInvalid), problem).find("upload") != std::string::npos);
+    // Control characters of the sender do not reach the log or the response.
+    REQUIRE(parseRouting(configurationOf(R"(["r\u0001","x.example","/p/","up\u0007",1500,400,1,"a",2,true,[],null])"), &problem).error()
+            == errc::routingInvalid);
+    REQUIRE(problem.find_first_of("\x01\x07") == std::string::npos);
+}
+
+TEST_CASE("platform: a download route that cannot be served is refused like any other", "[platform][download]")
+{
+    const auto bad = GENERATE(as<std::string> {}, R"(["r1","x.example","/p/","download",1500,400,1,"a",0,true,[],null])",
+                              R"(["r1","x.example","/p/","download",1500,400,1,"unknown",2,true,[],null])",
+                              R"(["r1","x.example","/p/","download",1500,400,1,null,2,true,[],[{"service":"a","weight":0},{"service":"b","weight":0}]])");
+    CAPTURE(bad);
+    const auto table = parseRouting(configurationOf(bad));
+    REQUIRE(table);
+    REQUIRE(checkRouting(table.value()).error() == errc::routingInvalid);
+}
+
 TEST_CASE("platform: versions are r and a number", "[platform]")
 {
     REQUIRE(parseRouting(configurationOf(plainRow, "\"r120\"")).value().version == 120);
--- a/tests/relay/drain_test.cpp
+++ b/tests/relay/drain_test.cpp
@@ -59,7 +59,7 @@
         table->routes = {{.name = "once",
                           .hostname = "x",
                           .pathPrefix = "/",
-                          .runOnce = true,
+                          .kind = request_kind::runOnce,
                           .timeout = milliseconds(8000),
                           .attempts = 1,
                           .services = {{service_name("s"), 1}}}};
--- a/tests/rpc/control_codec_test.cpp
+++ b/tests/rpc/control_codec_test.cpp
@@ -1,6 +1,7 @@
 // Tests the messages between entry and control hosts.
 
 #include "codec/control_codec.h"
+#include "codec/replica_codec.h"
 
 #include <catch2/catch.hpp>
 
@@ -32,3 +33,41 @@
     }
     REQUIRE(decode(schema::watch_reply()).stateAge == milliseconds(0));
 }
+
+namespace
+{
+
+routing_table tableOf(request_kind kind)
+{
+    return {.version = 3,
+            .routes = {{.name = "r", .hostname = "x", .pathPrefix = "/", .kind = kind, .services = {{.service = service_name("s"), .weight = 1}}}}};
+}
+
+} // namespace
+
+TEST_CASE("replica codec: every kind of route is read as it was written", "[replica][download]")
+{
+    for (const auto kind : {request_kind::runOnce, request_kind::idempotent, request_kind::download}) {
+        schema::routing_table message;
+        REQUIRE(message.ParseFromString(encode(tableOf(kind)).SerializeAsString()));
+        REQUIRE(decode(message) == tableOf(kind));
+    }
+}
+
+// During an upgrade, releases that know two kinds of routes and releases that know three read each other's logs.
+TEST_CASE("replica codec: releases that know no kinds of routes still agree on what may be repeated", "[replica][download][upgrade]")
+{
+    for (const auto kind : {request_kind::runOnce, request_kind::idempotent, request_kind::download}) {
+        auto message = encode(tableOf(kind));
+        REQUIRE(message.routes(0).run_once() == !isRepeatable(kind));
+        message.mutable_routes(0)->clear_kind();
+        REQUIRE(isRepeatable(decode(message).routes[0].kind) == isRepeatable(kind));
+    }
+    // A kind of a later release counts as what that release says of its repetition.
+    for (const bool runOnce : {true, false}) {
+        auto message = encode(tableOf(request_kind::idempotent));
+        message.mutable_routes(0)->set_run_once(runOnce);
+        message.mutable_routes(0)->set_kind(static_cast<schema::request_kind>(99));
+        REQUIRE(isRepeatable(decode(message).routes[0].kind) != runOnce);
+    }
+}
