steering: the link's estimate tells downloads from short requests

Cause: one running mean of bytes a service, a charge of at most a quarter of a burst, and admission by what was left before the request rather than after it. Now: the mean is by service and kind, a request is charged up to half of a burst, and one that would take what its priority leaves to more urgent ones is rejected with the time after which it fits. Tests: 'link_limiter: downloads that come to a service of short requests do not exceed the link' (failed with the kind left out of the key), 'a payment is never rejected because drawings took the link'.

--- a/include/steering/link_limiter.h
+++ b/include/steering/link_limiter.h
@@ -3,12 +3,14 @@
 #include "core/clock.h"
 #include "core/names.h"
 #include "core/shards.h"
+#include "rules/routing_table.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <utility>
 
 namespace hornbeampick
 {
@@ -21,6 +23,7 @@
 /// A request that asks for a share of the link.
 struct link_request {
     service_name service;
+    request_kind kind = request_kind::runOnce;
     // Priority of the request; 0 is the most urgent.
     std::uint32_t priority = 0;
 };
@@ -36,15 +39,15 @@
     /// Reserves the expected bytes of a request. Returns empty when it is admitted, otherwise the time after which it could be.
     [[nodiscard]] std::optional<milliseconds> admit(const link_request &request, steady_time now);
     /// Records how many bytes of content an admitted request has cost in each direction.
-    void finish(const service_name &service, std::size_t bytes);
+    void finish(const link_request &request, std::size_t bytes);
 
 private:
-    using expected_bytes = std::map<service_name, double>;
+    using expected_bytes = std::map<std::pair<service_name, request_kind>, double>;
 
-    [[nodiscard]] double expectedOf(const service_name &service) const;
+    [[nodiscard]] double expectedOf(const link_request &request) const;
 
     double m_bytesPerSecond;
-    // Average bytes of a request, by service.
+    // Average bytes of a request, by service and kind: a service answers short reads and large downloads.
     shards<expected_bytes> m_expected;
 
     std::mutex m_lock;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -195,7 +195,8 @@
     if (m_parts.poison.isQuarantined(context.contentDigest, m_parts.clock.now())) {
         co_return co_await sendLocalResponse(&context, {.status = 503, .error = errc::quarantined, .retryAfter = context.matched->timeout});
     }
-    const auto rejected = m_parts.link.admit({.service = context.service, .priority = context.matched->priority}, m_parts.clock.now());
+    const link_request linkRequest {.service = context.service, .kind = context.matched->kind, .priority = context.matched->priority};
+    const auto rejected = m_parts.link.admit(linkRequest, m_parts.clock.now());
     if (rejected) {
         co_return co_await sendLocalResponse(&context, {.status = 503, .error = errc::overloaded, .retryAfter = *rejected});
     }
@@ -204,7 +205,7 @@
     }
     const auto writtenBefore = m_bytesWritten;
     const bool keepOpen = co_await tryUpstreams(context);
-    m_parts.link.finish(context.service, context.body.size() + m_bytesWritten - writtenBefore);
+    m_parts.link.finish(linkRequest, context.body.size() + m_bytesWritten - writtenBefore);
     co_return keepOpen;
 }
 
--- a/src/steering/link_limiter.cpp
+++ b/src/steering/link_limiter.cpp
@@ -20,13 +20,19 @@
 constexpr double overheadBytes = 700;
 // Cost of a request to a service before the first response, in bytes.
 constexpr double initialBytes = 2500;
+constexpr double initialDownloadBytes = 90000;
 constexpr double smoothingFactor = 0.1;
 // Fraction of the burst that requests of each priority leave to more urgent ones.
 constexpr std::array priorityReserves {0.0, 0.15, 0.3};
 // A single request is charged at most this fraction of the burst: a long response takes its time, and others pass beside it.
-constexpr double maxCostFraction = 0.25;
+constexpr double maxCostFraction = 0.5;
 constexpr milliseconds minRetryAfter {100};
 
+double initialBytesOf(request_kind kind)
+{
+    return kind == request_kind::download ? initialDownloadBytes : initialBytes;
+}
+
 } // namespace
 
 link_limiter::link_limiter(const link_limiter_options &options)
@@ -41,7 +47,7 @@
         return std::nullopt;
     }
     const double burst = burstSeconds * m_bytesPerSecond;
-    const double cost = std::min(expectedOf(request.service), maxCostFraction * burst);
+    const double cost = std::min(expectedOf(request), maxCostFraction * burst);
     const double reserve = burst * priorityReserves.at(std::min<std::size_t>(request.priority, priorityReserves.size() - 1));
     const std::lock_guard guard(m_lock);
     if (m_refilledAt != steady_time {}) {
@@ -49,7 +55,8 @@
         m_available = std::min(burst, m_available + std::max(0.0, elapsed) * m_bytesPerSecond);
     }
     m_refilledAt = std::max(m_refilledAt, now);
-    if (m_available <= reserve) {
+    // A large response may not take what its priority leaves to more urgent requests.
+    if (m_available < reserve + cost) {
         const double waitMs = (reserve + cost - m_available) / m_bytesPerSecond * 1000;
         return std::max(minRetryAfter, milliseconds(static_cast<std::int64_t>(waitMs)));
     }
@@ -57,23 +64,23 @@
     return std::nullopt;
 }
 
-void link_limiter::finish(const service_name &service, std::size_t bytes)
+void link_limiter::finish(const link_request &request, std::size_t bytes)
 {
     if (m_bytesPerSecond <= 0) {
         return;
     }
-    m_expected.with(stableHash(service.view()), [&](expected_bytes &all) {
-        double &average = all.try_emplace(service, initialBytes).first->second;
+    m_expected.with(stableHash(request.service.view()), [&](expected_bytes &all) {
+        double &average = all.try_emplace({request.service, request.kind}, initialBytesOf(request.kind)).first->second;
         const double cost = std::min(static_cast<double>(bytes) + overheadBytes, maxCostFraction * burstSeconds * m_bytesPerSecond);
         average += smoothingFactor * (cost - average);
     });
 }
 
-double link_limiter::expectedOf(const service_name &service) const
+double link_limiter::expectedOf(const link_request &request) const
 {
-    return m_expected.with(stableHash(service.view()), [&](const expected_bytes &all) {
-        const auto found = all.find(service);
-        return found == all.end() ? initialBytes : found->second;
+    return m_expected.with(stableHash(request.service.view()), [&](const expected_bytes &all) {
+        const auto found = all.find({request.service, request.kind});
+        return found == all.end() ? initialBytesOf(request.kind) : found->second;
     });
 }
 
--- a/tests/steering/link_limiter_test.cpp
+++ b/tests/steering/link_limiter_test.cpp
@@ -19,7 +19,7 @@
     for (int i = 0; i < 4 * perSecond; ++i) {
         const auto now = start + microseconds(1000000LL * i / perSecond);
         if (!limiter.admit(request, now)) {
-            limiter.finish(request.service, bytes);
+            limiter.finish(request, bytes);
             admitted += i >= 2 * perSecond ? 1 : 0;
         }
     }
@@ -71,10 +71,63 @@
 {
     link_limiter limiter({.megabitsPerSecond = 5});
     REQUIRE_FALSE(limiter.admit({.service = service}, start));
-    limiter.finish(service, 10'000'000);
+    limiter.finish({.service = service}, 10'000'000);
     for (int i = 1; i <= 100; ++i) {
         REQUIRE_FALSE(limiter.admit({.service = service, .priority = 1}, start + milliseconds(100 * i)));
-        limiter.finish(service, 2000);
+        limiter.finish({.service = service, .priority = 1}, 2000);
+    }
+}
+
+// Drawings that came over from another service were admitted at the price of the short reads of this one, and filled the link for
+// seconds, in which payments waited behind them.
+TEST_CASE("link_limiter: downloads that come to a service of short requests do not exceed the link", "[link][download]")
+{
+    link_limiter limiter({.megabitsPerSecond = 16});
+    const link_request drawing {.service = service, .kind = request_kind::download, .priority = 2};
+    const link_request read {.service = service, .kind = request_kind::idempotent, .priority = 1};
+    constexpr std::size_t drawingBytes = 90000;
+    for (int i = 0; i < 400; ++i) {
+        REQUIRE_FALSE(limiter.admit(read, start + milliseconds(10 * i)));
+        limiter.finish(read, 2000);
+    }
+    std::size_t admittedBytes = 0;
+    for (int i = 0; i < 100; ++i) {
+        admittedBytes += limiter.admit(drawing, start + seconds(4)) ? 0 : drawingBytes;
+    }
+    // 16 Mbit/s are 500,000 bytes in the quarter of a second that may be admitted at once.
+    REQUIRE(admittedBytes > 0);
+    REQUIRE(admittedBytes <= 500000);
+    // Nor do drawings raise the price of the reads that follow.
+    for (int i = 0; i < 40; ++i) {
+        limiter.finish(drawing, drawingBytes);
+    }
+    int admittedReads = 0;
+    for (int i = 0; i < 400; ++i) {
+        admittedReads += limiter.admit(read, start + seconds(5) + milliseconds(5 * i)) ? 0 : 1;
+    }
+    REQUIRE(admittedReads == 400);
+}
+
+TEST_CASE("link_limiter: a payment is never rejected because drawings took the link", "[link][download]")
+{
+    for (const double megabits : {5.0, 16.0}) {
+        CAPTURE(megabits);
+        link_limiter limiter({.megabitsPerSecond = megabits});
+        const link_request drawing {.service = service_name("drawings"), .kind = request_kind::download, .priority = 2};
+        const link_request payment {.service = service, .kind = request_kind::runOnce, .priority = 0};
+        int drawings = 0;
+        for (int i = 0; i < 4000; ++i) {
+            const auto now = start + milliseconds(i);
+            if (!limiter.admit(drawing, now)) {
+                limiter.finish(drawing, 90000);
+                ++drawings;
+            }
+            if (i % 20 == 0) {
+                REQUIRE_FALSE(limiter.admit(payment, now));
+                limiter.finish(payment, 5000);
+            }
+        }
+        REQUIRE(drawings > 0);
     }
 }
 
