relay: a retry that reaches no upstream gives back its token

Cause: the token was returned only when no upstream could be chosen. Test: 'relay: a retry that reaches no upstream gives back its token' (failed before: no token was left).

--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -336,6 +336,10 @@
         auto attemptOutcome = co_await attempt.run(context, *lastGrant);
         m_cancellableAttempt = nullptr;
         const auto ejectedFor = m_parts.dispatch.finish(*lastGrant, attemptOutcome.end, attemptOutcome.load);
+        const bool wasSent = !attemptOutcome.isTooLate && attemptOutcome.end != dispatch_outcome::unreachable;
+        if (isRetry && !wasSent) {
+            m_parts.retries.refund(context.service);
+        }
         if (attemptOutcome.isTooLate) {
             // The check at the start of the loop answers the request.
             continue;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -987,6 +987,25 @@
     REQUIRE(arrivals == 1);
 }
 
+// The budget of a service ran out on retries that no upstream received, while some of its upstreams were down.
+TEST_CASE("relay: a retry that reaches no upstream gives back its token", "[relay][retries]")
+{
+    scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
+        scripted_upstream::write(to, notRunResponse(request));
+        return true;
+    });
+    scripted_upstream down(echo);
+    relay_fixture fixture({&full, &down});
+    down.close();
+    const service_name service("s");
+    while (fixture.retries.take(service)) { }
+    fixture.retries.refund(service);
+    caller client(fixture);
+    REQUIRE(client.exchange("POST", "/once/1", "", "x").result_int() == 503);
+    REQUIRE(full.requests() == 1);
+    REQUIRE(fixture.retries.take(service));
+}
+
 TEST_CASE("relay: the connection of an earlier response is not reused for another entry host", "[relay][peers]")
 {
     relay_fixture *self = nullptr;
