fleet: the record of a deregistration is made in a form that clang 14 accepts

The linter failed on: clang 14 does not take std::optional::emplace() without arguments for a nested aggregate with member initialisers before its class is complete. No change of behaviour; the tests of the directory pass.

--- a/src/fleet/upstream_directory.cpp
+++ b/src/fleet/upstream_directory.cpp
@@ -112,7 +112,10 @@
     if (!hasIncarnation && report.leftAt == 0) {
         return;
     }
-    auto &known = upstream.deregistered ? *upstream.deregistered : upstream.deregistered.emplace();
+    if (!upstream.deregistered) {
+        upstream.deregistered = deregistration {};
+    }
+    auto &known = *upstream.deregistered;
     if (hasIncarnation) {
         known.lastEnded = std::max(known.lastEnded, report.incarnation);
     } else if (report.leftAt > known.leftAt) {
