tests: a second copy of a long response reaches nobody, whenever it comes

A late long copy ends the attempt, so that a request with no other upstream is answered 502; with another one it is repeated where its kind allows.

--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -477,6 +477,41 @@
     REQUIRE(answer.body() == "mine");
 }
 
+// A response that is too long to be held is passed on as it comes, and its connection is reused afterwards.
+TEST_CASE("relay: a second copy of a long response reaches nobody, whenever it comes", "[relay][repeated][download]")
+{
+    const bool beforeNextRequest = GENERATE(true, false);
+    CAPTURE(beforeNextRequest);
+    constexpr std::size_t longBytes = 200000;
+    std::mutex lock;
+    std::string previous;
+    scripted_upstream upstream([&](const received_request &request, scripted_upstream::socket &to) {
+        const auto response = scripted_upstream::answer(request, request.line() + std::string(longBytes, 'x'));
+        std::string copy;
+        {
+            const std::lock_guard guard(lock);
+            copy = std::exchange(previous, response);
+        }
+        if (beforeNextRequest) {
+            scripted_upstream::write(to, response + response);
+        } else {
+            scripted_upstream::write(to, copy + response);
+        }
+        return true;
+    });
+    relay_fixture fixture({&upstream});
+    caller client(fixture);
+    for (int i = 0; i < 6; ++i) {
+        CAPTURE(i);
+        const auto target = "/again/" + std::to_string(i);
+        const auto response = client.exchange("GET", target);
+        // A long response to another request ends the attempt, and there is no second upstream here.
+        const bool isGivenUp = !beforeNextRequest && response.result_int() == 502;
+        REQUIRE((response.result_int() == 200 || isGivenUp));
+        REQUIRE((isGivenUp || response.body() == "GET " + target + " HTTP/1.1" + std::string(longBytes, 'x')));
+    }
+}
+
 TEST_CASE("relay: when nobody ran it the refusal says so and when to come back", "[relay]")
 {
     scripted_upstream full([](const received_request &request, scripted_upstream::socket &to) {
