--- a/review/stand-ins/harness.h
+++ b/review/stand-ins/harness.h
@@ -539,14 +539,25 @@
     {
         return m_listener >= 0;
     }
-    int beat(const std::string &control, const std::string &state = "ready")
+    int beat(const std::string &control, const std::string &state = "ready", int warmupLeftMs = 0)
     {
         std::ostringstream body;
         body << "{\"service\":\"" << m_service << "\",\"address\":\"" << m_address << "\",\"zone\":\"" << m_zone
-             << "\",\"version\":\"v1\",\"slots\":6,\"state\":\"" << state << "\",\"warmup_left_ms\":0,\"seq\":" << ++m_sequence << ",\"born\":" << m_born
-             << "}";
+             << "\",\"version\":\"v1\",\"slots\":6,\"state\":\"" << state << "\",\"warmup_left_ms\":" << warmupLeftMs << ",\"seq\":" << ++m_sequence
+             << ",\"born\":" << m_born << "}";
         return call(control, "POST", "/-/Instances.Heartbeat/" + m_id, body.str()).status();
     }
+    /// Closes all connections and listens no more, as a process that has crashed.
+    void crash()
+    {
+        m_crashed = true;
+        ::shutdown(m_listener, SHUT_RDWR);
+        ::close(m_listener);
+        const std::lock_guard guard(m_lock);
+        for (const int caller : m_callers) {
+            ::shutdown(caller, SHUT_RDWR);
+        }
+    }
     std::vector<run> runs()
     {
         const std::lock_guard guard(m_lock);
@@ -568,7 +579,11 @@
     {
         std::string buffer;
         message request;
-        while (readMessage(caller, buffer, request, -1)) {
+        {
+            const std::lock_guard guard(m_lock);
+            m_callers.insert(caller);
+        }
+        while (!m_crashed && readMessage(caller, buffer, request, -1)) {
             const auto id = request.field("request-id");
             const auto expected = request.field("expect-instance");
             std::string answer;
@@ -584,10 +599,12 @@
                 answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + m_id + "." + id
                     + "\r\nInstance-Load: 1,0,6\r\nContent-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id;
             }
-            if (!sendAll(caller, answer)) {
+            if (m_crashed || !sendAll(caller, answer)) {
                 break;
             }
         }
+        const std::lock_guard guard(m_lock);
+        m_callers.erase(caller);
         ::close(caller);
     }
 
@@ -600,7 +617,9 @@
     std::int64_t m_born;
     int m_listener;
     std::atomic<int> m_sequence {0};
+    std::atomic<bool> m_crashed {false};
     std::mutex m_lock;
+    std::set<int> m_callers;
     std::vector<run> m_runs;
 };
 
