--- a/review/stand-ins/harness.h
+++ b/review/stand-ins/harness.h
@@ -22,6 +22,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -384,6 +385,8 @@
         const auto log = m_folder + "/" + name + ".log";
         const pid_t child = ::fork();
         if (child == 0) {
+            // No process outlives a case that is broken off.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0640);
             ::dup2(out, 1);
             ::dup2(out, 2);
