replica: a log is loaded and compacted in bounded memory

Each start needed more than the 256 MB of its machine.

Cause: the log was compacted by the number of its entries alone, and a start held the file, all decoded entries and their encoded copies at once.

Fix: records are found without reading the file as a whole, entries known to be committed are applied as they are read, retained entries are saved one frame each, and the log is compacted at a sixteenth of the memory that the settings tell. The formats stay as they are. Memory and disk are then bounded by the largest single change, whatever was logged before.

--- a/include/replica/replica_engine.h
+++ b/include/replica/replica_engine.h
@@ -52,6 +52,8 @@
     milliseconds heartbeat {100};
     // The log is compacted once it holds this many applied entries.
     std::size_t snapshotEntries = 1024;
+    // The log is compacted too once its entries take this much memory or disk, in bytes.
+    std::size_t maxLogBytes = 16 * 1024 * 1024;
 };
 
 /// State of the replica for status requests and metrics.
@@ -139,6 +141,8 @@
     std::unique_ptr<formation> m_formation;
     voter_repair m_repair;
     rule_ledger m_ledger;
+    // Bytes of the entries on disk, replaced ones included.
+    std::size_t m_logBytes = 0;
     std::multimap<log_index, pending_submit> m_pendingSubmits;
     replica_role m_lastRole = replica_role::absent;
     // When a leader was last known, and when the next request to rejoin the log is due.
--- a/include/replica/rule_ledger.h
+++ b/include/replica/rule_ledger.h
@@ -4,6 +4,7 @@
 #include "replica/replica_types.h"
 
 #include <cstddef>
+#include <utility>
 
 namespace hornbeampick
 {
@@ -42,6 +43,11 @@
     {
         return m_state;
     }
+    /// Moves the state out of a ledger that is no longer used.
+    [[nodiscard]] ledger_state release() &&
+    {
+        return std::move(m_state);
+    }
 
 private:
     [[nodiscard]] submit_result currentVersionConflict() const;
@@ -52,4 +58,7 @@
     ledger_state m_state;
 };
 
+/// Moves the entries of `image` that are known to be committed into its snapshot.
+void applyCommitted(replica_image &image);
+
 } // namespace hornbeampick
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds maintenanceInterval {50};
 // Upstreams time out their calls after 1 s, so that the response must be sent earlier.
 constexpr milliseconds confirmTimeout {700};
+constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
+// The entries of the log take at most this part of the memory of the process.
+constexpr std::size_t logMemoryDivisor = 16;
 // Number of heartbeat intervals without a report after which an upstream counts as silent.
 constexpr int overdueHeartbeats = 3;
 // With this many voting control hosts, any two may lose their disks while the rest lose power. Further control hosts are learners
@@ -292,6 +295,7 @@
             .mayBootstrap = m_settings->bootstrap(),
             .electionTimeout = electionTimeout,
             .heartbeat = leaderHeartbeatInterval,
+            .maxLogBytes = m_settings->memory_mb() * bytesPerMegabyte / logMemoryDivisor,
         };
         const auto rpcPort = parseEndpoint(m_settings->rpc()).port;
         for (const auto &seed : m_settings->seeds()) {
--- a/src/replica/replica_engine.cpp
+++ b/src/replica/replica_engine.cpp
@@ -1,5 +1,7 @@
 #include "replica/replica_engine.h"
 
+#include "replica/entry_size.h"
+
 #include <set>
 #include <utility>
 
@@ -317,6 +319,7 @@
 void replica_engine::startCore(replica_image image)
 {
     m_ledger = rule_ledger(image.snapshot.state);
+    m_logBytes = memoryOf(image.entries);
     const replica_options options {
         .self = m_self,
         .electionTimeout = m_options.electionTimeout,
@@ -336,12 +339,14 @@
         m_hardState = *output.hardState;
     }
     if (output.snapshot) {
+        m_logBytes = 0;
         if (const auto saved = m_store.saveSnapshot(*output.snapshot, {}); !saved) {
             stopOnStorageError(saved.error());
             return false;
         }
     }
     if (!output.entries.empty()) {
+        m_logBytes += memoryOf(output.entries);
         if (const auto saved = m_store.append(output.entries); !saved) {
             stopOnStorageError(saved.error());
             return false;
@@ -386,7 +391,9 @@
 void replica_engine::compactIfNeeded()
 {
     const log_index applied = m_ledger.state().appliedIndex;
-    if (applied < m_core->firstIndex() + m_options.snapshotEntries) {
+    const bool isLong = applied >= m_core->firstIndex() + m_options.snapshotEntries;
+    const bool isLarge = applied >= m_core->firstIndex() && m_logBytes >= m_options.maxLogBytes;
+    if (!isLong && !isLarge) {
         return;
     }
     m_core->compact(applied, m_ledger.state());
@@ -396,6 +403,7 @@
         .config = m_core->snapshotConfig(),
         .state = m_ledger.state(),
     };
+    m_logBytes = memoryOf(m_core->entries());
     if (const auto saved = m_store.saveSnapshot(snapshot, m_core->entries()); !saved) {
         stopOnStorageError(saved.error());
     }
--- a/src/replica/rule_ledger.cpp
+++ b/src/replica/rule_ledger.cpp
@@ -112,4 +112,24 @@
     std::erase_if(m_state.epochs, [&](const claim_epoch &known) { return known.region == epoch.region && known.number + olderEpochsPerRegion < epoch.number; });
 }
 
+void applyCommitted(replica_image &image)
+{
+    auto &snapshot = image.snapshot;
+    if (!image.formed() || image.entries.empty() || image.entries.front().index > image.commit) {
+        return;
+    }
+    rule_ledger ledger(std::move(snapshot.state));
+    const auto pending = std::ranges::find_if(image.entries, [&](const log_entry &entry) { return entry.index > image.commit; });
+    for (auto entry = image.entries.begin(); entry != pending; ++entry) {
+        ledger.apply(*entry);
+        snapshot.index = entry->index;
+        snapshot.term = entry->term;
+        if (auto *config = std::get_if<replica_config>(&entry->body)) {
+            snapshot.config = std::move(*config);
+        }
+    }
+    snapshot.state = std::move(ledger).release();
+    image.entries.erase(image.entries.begin(), pending);
+}
+
 } // namespace hornbeampick
--- a/src/storage/file_system.cpp
+++ b/src/storage/file_system.cpp
@@ -109,6 +109,36 @@
         return content;
     }
 
+    [[nodiscard]] result<std::size_t> size(std::string_view name) const override
+    {
+        struct stat fileStatus {
+        };
+        if (::stat(path(name).c_str(), &fileStatus) != 0) {
+            return errc::fileUnreadable;
+        }
+        return static_cast<std::size_t>(fileStatus.st_size);
+    }
+
+    status readAt(std::string_view name, std::size_t offset, std::span<char> target) const override
+    {
+        const file_descriptor file(::open(path(name).c_str(), O_RDONLY | O_CLOEXEC));
+        if (!file.isOpen()) {
+            return errc::fileUnreadable;
+        }
+        while (!target.empty()) {
+            const ssize_t count = ::pread(file.value(), target.data(), target.size(), static_cast<off_t>(offset));
+            if (count < 0 && errno == EINTR) {
+                continue;
+            }
+            if (count <= 0) {
+                return errc::ioFailed;
+            }
+            offset += static_cast<std::size_t>(count);
+            target = target.subspan(static_cast<std::size_t>(count));
+        }
+        return success();
+    }
+
     status write(std::string_view name, std::string_view content) override
     {
         return writeFile(name, content, O_TRUNC);
@@ -195,22 +225,50 @@
     return std::unique_ptr<file_system>(std::make_unique<posix_file_system>(folder, std::move(lock)));
 }
 
-status replaceFile(file_system &files, std::string_view name, std::string_view content)
+file_replacement::file_replacement(file_system &files, std::string_view name)
+    : m_files(files)
+    , m_name(name)
+    , m_temporary(std::string(name) + ".new")
+{
+}
+
+file_replacement::~file_replacement()
+{
+    if (!m_isCommitted) {
+        // On a full disk an unfinished file takes the room that other records need.
+        (void)m_files.remove(m_temporary);
+    }
+}
+
+status file_replacement::append(std::string_view content)
 {
-    const std::string temporary = std::string(name) + ".new";
-    auto outcome = files.write(temporary, content);
+    // The first piece truncates what an earlier process may have left.
+    return std::exchange(m_isCreated, true) ? m_files.append(m_temporary, content) : m_files.write(m_temporary, content);
+}
+
+status file_replacement::commit()
+{
+    auto outcome = m_isCreated ? status(success()) : append({});
     if (outcome) {
-        outcome = files.sync(temporary);
+        outcome = m_files.sync(m_temporary);
     }
     if (outcome) {
-        outcome = files.rename(temporary, name);
+        outcome = m_files.rename(m_temporary, m_name);
     }
     if (!outcome) {
-        // On a full disk an unfinished file takes the room that other records need.
-        (void)files.remove(temporary);
         return outcome;
     }
-    return files.syncFolder();
+    m_isCommitted = true;
+    return m_files.syncFolder();
+}
+
+status replaceFile(file_system &files, std::string_view name, std::string_view content)
+{
+    file_replacement replacement(files, name);
+    if (auto outcome = replacement.append(content); !outcome) {
+        return outcome;
+    }
+    return replacement.commit();
 }
 
 } // namespace hornbeampick
--- a/src/storage/replica_file_store.cpp
+++ b/src/storage/replica_file_store.cpp
@@ -1,10 +1,14 @@
 #include "storage/replica_file_store.h"
 
 #include "codec/replica_codec.h"
+#include "replica/rule_ledger.h"
 #include "storage/record_frame.h"
 
 #include <algorithm>
 #include <array>
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/wire_format_lite.h>
 #include <string>
 
 namespace hornbeampick
@@ -37,6 +41,61 @@
     return batch.SerializeAsString();
 }
 
+// A file of the data folder, read in pieces.
+class file_source final : public record_source
+{
+public:
+    file_source(const file_system &files, std::string_view name, std::size_t size)
+        : m_files(files)
+        , m_name(name)
+        , m_size(size)
+    {
+    }
+    [[nodiscard]] std::size_t size() const override
+    {
+        return m_size;
+    }
+    status read(std::size_t offset, std::span<char> target) const override
+    {
+        return m_files.readAt(m_name, offset, target);
+    }
+
+private:
+    const file_system &m_files;
+    std::string_view m_name;
+    std::size_t m_size;
+};
+
+// The payload of one record, as the input of a message decoder.
+class extent_stream final : public google::protobuf::io::CopyingInputStream
+{
+public:
+    extent_stream(const record_source &source, const record_extent &extent)
+        : m_source(source)
+        , m_rest(extent)
+    {
+    }
+    int Read(void *buffer, int size) override
+    {
+        const std::span<char> target(static_cast<char *>(buffer), std::min(static_cast<std::size_t>(size), m_rest.length));
+        if (auto outcome = m_source.read(m_rest.offset, target); !outcome) {
+            m_outcome = outcome;
+            return -1;
+        }
+        m_rest = {.offset = m_rest.offset + target.size(), .length = m_rest.length - target.size()};
+        return static_cast<int>(target.size());
+    }
+    [[nodiscard]] const status &outcome() const
+    {
+        return m_outcome;
+    }
+
+private:
+    const record_source &m_source;
+    record_extent m_rest;
+    status m_outcome = success();
+};
+
 class replica_file_store final : public replica_store
 {
 public:
@@ -54,12 +113,12 @@
         if (auto outcome = loadSnapshot(image); !outcome) {
             return outcome.error();
         }
+        // The commit file is not synced and may be lost in a power failure; the log frames hold the commit index as of the last append.
+        // When it could not be written either, this process still knows the index.
+        image.commit = std::max(loadCommitIndex(), m_commitIndex);
         if (auto outcome = loadLog(image); !outcome) {
             return outcome.error();
         }
-        // The commit file is not synced and may be lost in a power failure; the log frames hold the commit index as of the last append.
-        // When it could not be written either, this process still knows the index.
-        image.commit = std::max({image.commit, loadCommitIndex(), m_commitIndex});
         if (image.commit > image.snapshot.index + image.entries.size()) {
             // An index is recorded as committed only after its entry was synced, so the tail of the log is damaged, not torn.
             return errc::corruptRecord;
@@ -123,7 +182,13 @@
         if (auto outcome = replaceFile(m_files, snapshotFile, frameRecord(encode(snapshot).SerializeAsString())); !outcome) {
             return outcome;
         }
-        return replaceFile(m_files, logFile, retained.empty() ? std::string {} : frameRecord(encodeEntries(retained, m_commitIndex)));
+        file_replacement log(m_files, logFile);
+        for (std::size_t i = 0; i < retained.size(); ++i) {
+            if (auto outcome = log.append(frameRecord(encodeEntries(retained.subspan(i, 1), m_commitIndex))); !outcome) {
+                return outcome;
+            }
+        }
+        return log.commit();
     }
 
 private:
@@ -196,31 +261,62 @@
         if (!m_files.exists(logFile)) {
             return success();
         }
-        const auto content = m_files.read(logFile);
-        if (!content) {
-            return content.error();
-        }
-        const auto frames = readFrames(content.value());
-        if (!frames) {
-            return frames.error();
+        const auto size = m_files.size(logFile);
+        if (!size) {
+            return size.error();
         }
+        const file_source source(m_files, logFile, size.value());
+        record_reader reader(source);
         bool conflictsWithSnapshot = false;
-        for (const auto payload : frames.value().payloads) {
-            schema::replica_message batch;
-            if (!batch.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
-                return errc::corruptRecord;
+        while (true) {
+            const auto record = reader.next();
+            if (!record) {
+                return record.error();
             }
-            image.commit = std::max<log_index>(image.commit, batch.commit_index());
-            for (const auto &entry : batch.entries()) {
-                if (auto outcome = insertEntry(image, decode(entry), conflictsWithSnapshot); !outcome) {
-                    return outcome;
-                }
+            if (!record.value()) {
+                break;
+            }
+            if (auto outcome = readBatch(source, *record.value(), image, conflictsWithSnapshot); !outcome) {
+                return outcome;
             }
         }
-        if (frames.value().validBytes < content.value().size()) {
-            return truncateTornTail(frames.value().validBytes);
+        return reader.validBytes() < size.value() ? truncateTornTail(reader.validBytes()) : status(success());
+    }
+
+    // Reads the entries of one log frame, and applies those that are known to be committed: the memory in use does not grow with the log.
+    static status readBatch(const record_source &source, const record_extent &extent, replica_image &image, bool &conflictsWithSnapshot)
+    {
+        extent_stream bytes(source, extent);
+        google::protobuf::io::CopyingInputStreamAdaptor buffer(&bytes);
+        google::protobuf::io::CodedInputStream input(&buffer);
+        std::string encoded;
+        while (const auto tag = input.ReadTag()) {
+            const int field = google::protobuf::internal::WireFormatLite::GetTagFieldNumber(tag);
+            if (field == schema::replica_message::kCommitIndexFieldNumber) {
+                std::uint64_t commit = 0;
+                if (!input.ReadVarint64(&commit)) {
+                    return errc::corruptRecord;
+                }
+                image.commit = std::max<log_index>(image.commit, commit);
+                continue;
+            }
+            if (field != schema::replica_message::kEntriesFieldNumber) {
+                if (!google::protobuf::internal::WireFormatLite::SkipField(&input, tag)) {
+                    return errc::corruptRecord;
+                }
+                continue;
+            }
+            std::uint32_t length = 0;
+            schema::log_entry entry;
+            if (!input.ReadVarint32(&length) || !input.ReadString(&encoded, static_cast<int>(length)) || !entry.ParseFromString(encoded)) {
+                return errc::corruptRecord;
+            }
+            if (auto outcome = insertEntry(image, decode(entry), conflictsWithSnapshot); !outcome) {
+                return outcome;
+            }
+            applyCommitted(image);
         }
-        return success();
+        return bytes.outcome();
     }
 
     // `conflictsWithSnapshot` is set while the entries follow one that differs from the last entry of the snapshot: a leader's snapshot replaced
--- a/tests/fakes/memory_files.cpp
+++ b/tests/fakes/memory_files.cpp
@@ -19,6 +19,29 @@
     return found->second->content;
 }
 
+result<std::size_t> memory_files::size(std::string_view name) const
+{
+    const auto found = m_files.find(name);
+    if (found == m_files.end()) {
+        return errc::fileUnreadable;
+    }
+    return found->second->content.size();
+}
+
+status memory_files::readAt(std::string_view name, std::size_t offset, std::span<char> target) const
+{
+    const auto found = m_files.find(name);
+    if (found == m_files.end()) {
+        return errc::fileUnreadable;
+    }
+    const auto &content = found->second->content;
+    if (offset + target.size() > content.size()) {
+        return errc::ioFailed;
+    }
+    std::copy_n(content.begin() + static_cast<std::ptrdiff_t>(offset), target.size(), target.begin());
+    return success();
+}
+
 status memory_files::write(std::string_view name, std::string_view content)
 {
     if (auto done = beginOperation(); !done) {
--- a/tests/fakes/memory_files.h
+++ b/tests/fakes/memory_files.h
@@ -21,6 +21,8 @@
 public:
     [[nodiscard]] bool exists(std::string_view name) const override;
     [[nodiscard]] result<std::string> read(std::string_view name) const override;
+    [[nodiscard]] result<std::size_t> size(std::string_view name) const override;
+    status readAt(std::string_view name, std::size_t offset, std::span<char> target) const override;
     status write(std::string_view name, std::string_view content) override;
     status append(std::string_view name, std::string_view content) override;
     status truncate(std::string_view name, std::size_t size) override;
--- /dev/null
+++ b/tests/fakes/memory_use.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstddef>
+
+namespace hornbeampick::testing
+{
+
+/// Measures how much the resident memory of this process grows. Only one at a time.
+class memory_use
+{
+public:
+    /// Returns free memory to the system and resets the peak that the system keeps.
+    memory_use();
+    /// Returns the peak of the resident memory since the construction above what it was then, in bytes.
+    [[nodiscard]] std::size_t peakGrowthBytes() const;
+
+private:
+    std::size_t m_bytesBefore = 0;
+};
+
+} // namespace hornbeampick::testing
--- a/tests/replica/replica_engine_test.cpp
+++ b/tests/replica/replica_engine_test.cpp
@@ -901,6 +901,24 @@
     REQUIRE(cluster.engine(0)->ledger().state().routing.version >= 4);
 }
 
+// The log was compacted by the number of its entries alone, so that a few hundred changes of a large configuration filled memory and disk.
+TEST_CASE("replica: the log is compacted before its entries take more than their share of the memory", "[replica][memory]")
+{
+    constexpr std::size_t documentBytes = 4 * 1024 * 1024;
+    const std::size_t maxBytes = replica_node_options().maxLogBytes + 2 * documentBytes;
+    replica_cluster cluster(3, firstSeed);
+    cluster.run(milliseconds(1000));
+    for (std::uint64_t version = 1; version <= 12; ++version) {
+        cluster.submitEntry(*cluster.leader(), routing_table {.version = version, .document = std::string(documentBytes, 'd')});
+        cluster.run(milliseconds(100));
+        for (std::size_t host = 0; host < cluster.size(); ++host) {
+            INFO("version " << version << ", host " << host);
+            REQUIRE(cluster.files(host).usedBytes() < maxBytes);
+        }
+    }
+    REQUIRE(cluster.outcomes == std::vector<errc>(12, errc::ok));
+}
+
 // Regression test for a sequence found by the property test above: a new disk starts to follow a leader that is replaced before the change
 // that adds the disk is committed. The disk then sent no further join requests and stayed outside the log.
 TEST_CASE("replica: a disk invited by a leader that was replaced meanwhile finds its place (seed 20268276)", "[replica]")
--- a/tests/settings/node_settings_test.cpp
+++ b/tests/settings/node_settings_test.cpp
@@ -35,6 +35,8 @@
     REQUIRE(parseNodeSettings(settingsWith("front: '10.0.0.1:80'\nlinkMbps: 4.7\n"), "f").settings->link_mbps() == 4.7);
     REQUIRE(parseNodeSettings(settingsWith("front: '10.0.0.1:80'\n"), "f").settings->link_mbps() == 0);
     REQUIRE(keyOfError("front: '10.0.0.1:80'\nlinkMbps: -1\n") == "linkMbps");
+    REQUIRE(parseNodeSettings(settingsWith("front: '10.0.0.1:80'\nmemoryMb: 260\n"), "f").settings->memory_mb() == 260);
+    REQUIRE(keyOfError("front: '10.0.0.1:80'\nmemoryMb: 1\n") == "memoryMb");
 }
 
 TEST_CASE("node settings: what is wrong is named", "[settings]")
--- a/tests/storage/replica_file_store_test.cpp
+++ b/tests/storage/replica_file_store_test.cpp
@@ -1,9 +1,12 @@
+#include "codec/replica_codec.h"
 #include "fakes/memory_files.h"
+#include "fakes/memory_use.h"
 #include "fakes/replica_cluster.h"
 #include "storage/record_frame.h"
 #include "storage/replica_file_store.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
 
 using namespace hornbeampick;
 using namespace hornbeampick::testing;
@@ -52,6 +55,32 @@
     return snapshot && term && entries && replaced && compacted;
 }
 
+// The routes of a large configuration, with the document that they come from.
+routing_table largeTable(std::uint64_t version)
+{
+    constexpr std::size_t routeCount = 1440;
+    constexpr std::size_t documentBytes = 90'000;
+    routing_table table {.version = version, .document = std::string(documentBytes, 'd')};
+    for (std::size_t i = 0; i < routeCount; ++i) {
+        table.routes.push_back({.name = "route-" + std::to_string(i),
+                                .hostname = "shop" + std::to_string(i % 40) + ".example",
+                                .pathPrefix = "/large" + std::to_string(i) + "/",
+                                .services = {{.service = service_name("archive"), .weight = 1}}});
+    }
+    return table;
+}
+
+// A log frame as every build writes it.
+std::string logFrame(std::span<const log_entry> entries, log_index commit)
+{
+    schema::replica_message batch;
+    batch.set_commit_index(commit);
+    for (const auto &entry : entries) {
+        *batch.add_entries() = encode(entry);
+    }
+    return frameRecord(batch.SerializeAsString());
+}
+
 } // namespace
 
 TEST_CASE("replica_file_store: what was synced is found after a crash at every write and every sync", "[storage]")
@@ -249,3 +278,43 @@
     REQUIRE(image.value().commit >= 3);
     REQUIRE(image.value().commit <= 4);
 }
+
+// A start decoded the whole log at once: after some hundred changes of a large configuration a control host needed more memory than its
+// machine had, each time it started.
+TEST_CASE("replica_file_store: a log of 1,000 large configurations that a former build wrote is loaded in bounded memory", "[storage][memory]")
+{
+    constexpr std::uint64_t changes = 1000;
+    // A former build wrote all entries that it found at a start as one frame.
+    constexpr std::uint64_t changesBeforeStart = 100;
+    constexpr std::size_t allowedBytes = 64 * 1024 * 1024;
+    const auto folder = std::filesystem::temp_directory_path() / ("hb-large-log-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    {
+        const auto files = makePosixFileSystem(folder.string());
+        REQUIRE(files);
+        auto &disk = *files.value();
+        const auto store = makeReplicaFileStore(disk);
+        REQUIRE(store->saveHardState(7, {.term = 1, .votedFor = 0}));
+        REQUIRE(store->saveSnapshot(snapshotOf(1, 1), {}));
+        std::vector<log_entry> first;
+        for (std::uint64_t version = 1; version <= changesBeforeStart; ++version) {
+            first.push_back({.index = version + 1, .term = 1, .body = largeTable(version)});
+        }
+        REQUIRE(disk.append("log", logFrame(first, 1)));
+        first = {};
+        for (std::uint64_t version = changesBeforeStart + 1; version <= changes; ++version) {
+            const std::vector<log_entry> entry {{.index = version + 1, .term = 1, .body = largeTable(version)}};
+            REQUIRE(disk.append("log", logFrame(entry, version)));
+        }
+        const memory_use memory;
+        const auto image = makeReplicaFileStore(disk)->load();
+        REQUIRE(image);
+        CHECK(image.value().snapshot.state.routing.version == changes - 1);
+        CHECK(image.value().snapshot.index + image.value().entries.size() == changes + 1);
+        INFO("peak growth in bytes: " << memory.peakGrowthBytes());
+        CHECK(memory.peakGrowthBytes() < allowedBytes);
+        REQUIRE(makeReplicaFileStore(disk)->saveSnapshot(image.value().snapshot, image.value().entries));
+        CHECK(disk.size("log").value() + disk.size("snapshot").value() < 2 * 1024 * 1024);
+    }
+    std::filesystem::remove_all(folder);
+}
