storage: an entry that a later frame of the log replaces is not applied at a start

Callers would have seen a control host start with another change than the accepted one.

Cause: entries were applied while the log was read, up to the index in the commit file. At such an index the log may still hold an entry that a later frame replaces. Evidence: all three hosts had version 3 in their history, and host 2, the only one that had started from its disk, with other content.

Fix: while the log is read, the commit index of its frames decides, which was known when the frame was written; the commit file only counts after the last frame. An entry that was committed when a frame was written is not replaced by a later one.

--- a/src/storage/replica_file_store.cpp
+++ b/src/storage/replica_file_store.cpp
@@ -113,17 +113,18 @@
         if (auto outcome = loadSnapshot(image); !outcome) {
             return outcome.error();
         }
-        // The commit file is not synced and may be lost in a power failure; the log frames hold the commit index as of the last append.
-        // When it could not be written either, this process still knows the index.
-        image.commit = std::max(loadCommitIndex(), m_commitIndex);
         if (auto outcome = loadLog(image); !outcome) {
             return outcome.error();
         }
+        // The commit file is not synced and may be lost in a power failure; the log frames hold the commit index as of the last append.
+        // When it could not be written either, this process still knows the index.
+        image.commit = std::max({image.commit, loadCommitIndex(), m_commitIndex});
         if (image.commit > image.snapshot.index + image.entries.size()) {
             // An index is recorded as committed only after its entry was synced, so the tail of the log is damaged, not torn.
             return errc::corruptRecord;
         }
         m_commitIndex = image.commit;
+        applyCommitted(image);
         image.hasLostRecords = std::ranges::any_of(recordFiles, [this](std::string_view name) { return m_files.exists(damagedName(name)); });
         return image;
     }
@@ -283,7 +284,9 @@
         return reader.validBytes() < size.value() ? truncateTornTail(reader.validBytes()) : status(success());
     }
 
-    // Reads the entries of one log frame, and applies those that are known to be committed: the memory in use does not grow with the log.
+    // Reads the entries of one log frame, and applies those that were committed when the frame was written: the memory in use does not grow with
+    // the log. No later frame replaces them. The commit file cannot tell that: at an index that it covers, the log may still hold an entry that a
+    // later frame replaces.
     static status readBatch(const record_source &source, const record_extent &extent, replica_image &image, bool &conflictsWithSnapshot)
     {
         extent_stream bytes(source, extent);
--- a/tests/storage/replica_file_store_test.cpp
+++ b/tests/storage/replica_file_store_test.cpp
@@ -279,6 +279,26 @@
     REQUIRE(image.value().commit <= 4);
 }
 
+// Entries were applied while the log was read, up to the index in the commit file. One that a later frame replaced was then applied instead of
+// the committed one (seed 20261763 of the histories with disks that fail).
+TEST_CASE("replica_file_store: of two entries with the same index the committed one is applied", "[storage]")
+{
+    memory_files files;
+    const auto store = makeReplicaFileStore(files);
+    REQUIRE(store->saveHardState(7, {.term = 2, .votedFor = 0}));
+    REQUIRE(store->saveSnapshot(snapshotOf(1, 1), {}));
+    const auto tableOf = [](log_term term) {
+        return std::vector<log_entry> {{.index = 2, .term = term, .body = routing_table {.version = 1, .document = "term " + std::to_string(term)}}};
+    };
+    REQUIRE(store->append(tableOf(1)));
+    REQUIRE(store->append(tableOf(2)));
+    REQUIRE(store->recordCommitIndex(2));
+    const auto image = makeReplicaFileStore(files)->load();
+    REQUIRE(image);
+    CHECK(image.value().snapshot.index == 2);
+    CHECK(image.value().snapshot.state.routing.document == "term 2");
+}
+
 // A start decoded the whole log at once: after some hundred changes of a large configuration a control host needed more memory than its
 // machine had, each time it started.
 TEST_CASE("replica_file_store: a log of 1,000 large configurations that a former build wrote is loaded in bounded memory", "[storage][memory]")
