replica: entries in flight to a follower are bounded in bytes and sent once

Cause: the leader attached all unacknowledged entries to each heartbeat and each proposal, and took proposals without a bound.

Evidence: six changes of 100 KB to a follower whose replies are lost: 13.0 MB sent within 0.6 s.

Fix: one request with entries is in flight to a follower, of at most 1 MB or one entry, and is sent again only after an election timeout plus the time of a slow transfer; heartbeats in between are empty. Proposals are refused with log-busy, thus 503, while half of the log's share of the memory is uncommitted. Messages keep their form, so that former builds work on both ends.

--- a/include/core/error.h
+++ b/include/core/error.h
@@ -52,6 +52,7 @@
     configBusy = 65,
     routingInvalid = 66,
     notConfirmed = 67,
+    logBusy = 68,
     // Storage.
     ioFailed = 80,
     corruptRecord = 81,
--- a/include/replica/replica_core.h
+++ b/include/replica/replica_core.h
@@ -19,8 +19,11 @@
     // Without a leader, an election starts after a random time between one and two of these.
     milliseconds electionTimeout {600};
     milliseconds heartbeat {100};
-    // Bounds the size of an append request.
+    // Bounds of an append request. One entry is sent whatever its size.
     std::size_t maxEntriesPerMessage = 256;
+    std::size_t maxBytesPerMessage = 1024 * 1024;
+    // No entry is proposed while uncommitted ones take this much memory, in bytes.
+    std::size_t maxUncommittedBytes = 8 * 1024 * 1024;
 };
 
 /// Effects that the caller carries out in this order: persist and fsync, then send, then apply.
@@ -47,6 +50,9 @@
     steady_time lastReply {};
     // No further snapshot is sent before this time.
     steady_time snapshotUntil {};
+    // The last of the entries in flight, which are not sent again, nor others, before `retryAt` unless they are acknowledged or rejected.
+    log_index inFlightEnd = 0;
+    steady_time retryAt {};
 };
 
 /// Raft state machine of one replica: elections with pre-vote, log replication, commit and membership changes.
@@ -63,7 +69,7 @@
     void step(const replica_message &message, steady_time now);
 
     /// Appends an entry to the leader's log and returns its index. Errors: notLeader; configBusy while an earlier configuration change is
-    /// uncommitted or the leader has not committed an entry of its term.
+    /// uncommitted or the leader has not committed an entry of its term; logBusy while too many bytes are uncommitted.
     result<log_index> propose(entry_body body, steady_time now);
     /// Transfers leadership to the other voter with the most replicated entries: asks it to start an election immediately. No effect on other roles.
     void transferLeadership(steady_time now);
@@ -154,9 +160,12 @@
     void onSnapshotRequest(const replica_message &message, steady_time now);
 
     void acceptEntries(std::span<const log_entry> entries);
-    void appendAsLeader(entry_body body);
+    void appendAsLeader(log_entry entry);
+    [[nodiscard]] log_entry nextEntry(entry_body body) const;
     void truncateFrom(log_index index);
+    [[nodiscard]] bool hasRoomFor(const log_entry &entry) const;
     void sendAppend(const replica_id &peer, steady_time now);
+    void attachEntries(replica_message &message, replica_progress &progress, steady_time now) const;
     void sendSnapshot(const replica_id &peer, replica_progress &progress, steady_time now);
     void broadcastAppend(steady_time now);
     void requestVotes(replica_message_kind kind, log_term term, bool leadershipTransfer);
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -55,6 +55,7 @@
     error_text {errc::notAVoter, "not-a-voter", "the host holds no copy of the log"},
     error_text {errc::configBusy, "config-busy", "another change of the voters is under way"},
     error_text {errc::routingInvalid, "routing-invalid", "the routes are invalid; nothing of them is applied"},
+    error_text {errc::logBusy, "log-busy", "too many changes await their confirmation; the change was not accepted"},
     error_text {errc::notConfirmed, "not-confirmed", "the entry hosts did not confirm the change in time"},
     error_text {errc::ioFailed, "io-failed", "the operating system refused a port or a disk operation"},
     error_text {errc::corruptRecord, "corrupt-record", "a stored record is damaged"},
--- a/src/replica/replica_core.cpp
+++ b/src/replica/replica_core.cpp
@@ -1,5 +1,7 @@
 #include "replica/replica_core.h"
 
+#include "replica/entry_size.h"
+
 #include <cassert>
 
 namespace hornbeampick
@@ -10,6 +12,8 @@
 
 // An unacknowledged snapshot is sent again after this interval.
 constexpr milliseconds snapshotRetryInterval {2000};
+// The slowest transfer of entries that still counts as moving.
+constexpr std::size_t minBytesPerMillisecond = 512;
 
 const replica_config *configOf(const log_entry &entry)
 {
@@ -103,7 +107,11 @@
     if (std::holds_alternative<replica_config>(body) && (m_configIndex > m_commitIndex || !hasCommittedInTerm())) {
         return errc::configBusy;
     }
-    appendAsLeader(std::move(body));
+    log_entry entry = nextEntry(std::move(body));
+    if (!hasRoomFor(entry)) {
+        return errc::logBusy;
+    }
+    appendAsLeader(std::move(entry));
     broadcastAppend(now);
     return lastIndex();
 }
@@ -288,6 +296,7 @@
     auto &progress = found->second;
     progress.lastReply = now;
     if (!message.granted) {
+        progress.retryAt = {};
         // A peer may have lost entries that it had acknowledged, so its match index can move back. A delayed rejection costs only a retransmission.
         progress.match = std::min(progress.match, message.lastIndex);
         progress.next = std::min(message.lastIndex, lastIndex()) + 1;
@@ -295,10 +304,13 @@
         return;
     }
     progress.snapshotUntil = {};
+    if (message.lastIndex >= progress.inFlightEnd) {
+        progress.retryAt = {};
+    }
     progress.match = std::max(progress.match, message.lastIndex);
     progress.next = std::max(progress.next, progress.match + 1);
     advanceCommit(now);
-    if (progress.match < lastIndex() && progress.next <= lastIndex()) {
+    if (progress.match < lastIndex() && progress.next <= lastIndex() && now >= progress.retryAt) {
         sendAppend(message.from, now);
     }
 }
@@ -350,9 +362,20 @@
     }
 }
 
-void replica_core::appendAsLeader(entry_body body)
+log_entry replica_core::nextEntry(entry_body body) const
+{
+    return {.index = lastIndex() + 1, .term = m_hardState.term, .body = std::move(body)};
+}
+
+bool replica_core::hasRoomFor(const log_entry &entry) const
+{
+    const auto uncommitted = std::span(m_entries).subspan(m_commitIndex - m_snapshot.index);
+    return uncommitted.empty() || memoryOf(uncommitted) + memoryOf(entry) <= m_options.maxUncommittedBytes;
+}
+
+void replica_core::appendAsLeader(log_entry entry)
 {
-    m_entries.push_back({.index = lastIndex() + 1, .term = m_hardState.term, .body = std::move(body)});
+    m_entries.push_back(std::move(entry));
     m_output.entries.push_back(m_entries.back());
     if (const auto *changed = configOf(m_entries.back())) {
         m_config = *changed;
@@ -384,11 +407,29 @@
     message.lastIndex = progress.next - 1;
     message.lastTerm = termAt(message.lastIndex);
     message.commitIndex = m_commitIndex;
+    if (now >= progress.retryAt) {
+        attachEntries(message, progress, now);
+    }
+    m_output.messages.push_back(std::move(message));
+}
+
+// Attaches the next entries for a follower that has none in flight.
+void replica_core::attachEntries(replica_message &message, replica_progress &progress, steady_time now) const
+{
     const log_index end = std::min(lastIndex(), progress.next + m_options.maxEntriesPerMessage - 1);
+    std::size_t bytes = 0;
     for (log_index index = progress.next; index <= end; ++index) {
-        message.entries.push_back(entryAt(index));
+        const auto &entry = entryAt(index);
+        bytes += memoryOf(entry);
+        if (!message.entries.empty() && bytes > m_options.maxBytesPerMessage) {
+            break;
+        }
+        message.entries.push_back(entry);
+    }
+    if (!message.entries.empty()) {
+        progress.inFlightEnd = message.entries.back().index;
+        progress.retryAt = now + m_options.electionTimeout + milliseconds(bytes / minBytesPerMillisecond);
     }
-    m_output.messages.push_back(std::move(message));
 }
 
 void replica_core::sendSnapshot(const replica_id &peer, replica_progress &progress, steady_time now)
--- a/src/replica/replica_core_elections.cpp
+++ b/src/replica/replica_core_elections.cpp
@@ -22,6 +22,8 @@
     if (successor == nullptr) {
         return;
     }
+    // Whatever is in flight may be lost; the successor needs all entries to be elected.
+    m_progress[successor->disk].retryAt = {};
     sendAppend(*successor, now);
     m_output.messages.push_back({.kind = replica_message_kind::timeoutNow, .from = m_options.self, .to = *successor, .term = m_hardState.term});
 }
@@ -96,7 +98,7 @@
     for (const auto &peer : otherMembers()) {
         m_progress[peer.disk] = {.next = lastIndex() + 1, .match = 0, .lastReply = now, .snapshotUntil = {}};
     }
-    appendAsLeader(barrier_entry {});
+    appendAsLeader(nextEntry(barrier_entry {}));
     broadcastAppend(now);
 }
 
--- a/src/replica/replica_engine.cpp
+++ b/src/replica/replica_engine.cpp
@@ -324,6 +324,7 @@
         .self = m_self,
         .electionTimeout = m_options.electionTimeout,
         .heartbeat = m_options.heartbeat,
+        .maxUncommittedBytes = m_options.maxLogBytes / 2,
     };
     m_core = std::make_unique<replica_core>(options, std::move(image), m_random, m_clock.now());
     m_formation.reset();
--- a/tests/fakes/replica_cluster.cpp
+++ b/tests/fakes/replica_cluster.cpp
@@ -1,5 +1,7 @@
 #include "replica_cluster.h"
 
+#include "replica/entry_size.h"
+
 #include <cmath>
 
 namespace hornbeampick::testing
@@ -38,6 +40,7 @@
     void send(const replica_message &message) override
     {
         const std::size_t to = cluster.indexOf(message.to.address);
+        cluster.entryBytesSent[{index, to}] += memoryOf(message.entries);
         cluster.post(index, to, [this, to, message] { cluster.m_nodes[to]->engine->receive(message); });
     }
 
--- a/tests/fakes/replica_cluster.h
+++ b/tests/fakes/replica_cluster.h
@@ -70,6 +70,8 @@
     std::vector<errc> outcomes;
     /// Violated invariants: two leaders in a term, changed committed entries, decreasing versions.
     std::vector<std::string> violations;
+    /// Bytes of the log entries that each host sent to each other one, lost messages included.
+    std::map<std::pair<std::size_t, std::size_t>, std::size_t> entryBytesSent;
     /// Errors with which hosts stopped their replicas, until they recover.
     std::map<std::size_t, std::error_code> stopped;
 
--- a/tests/replica/replica_engine_test.cpp
+++ b/tests/replica/replica_engine_test.cpp
@@ -919,6 +919,54 @@
     REQUIRE(cluster.outcomes == std::vector<errc>(12, errc::ok));
 }
 
+// All unacknowledged entries were sent again with each heartbeat and each proposal; a follower that answers late was sent a large configuration
+// dozens of times, and the leader held all copies.
+TEST_CASE("replica: entries in flight to a slow follower are not sent again with each heartbeat", "[replica][memory]")
+{
+    constexpr std::size_t documentBytes = 100 * 1024;
+    constexpr std::size_t changes = 6;
+    replica_cluster cluster(3, firstSeed);
+    cluster.run(milliseconds(1000));
+    const auto leader = *cluster.leader();
+    const auto slow = (leader + 1) % cluster.size();
+    cluster.cut(slow, leader, true);
+    for (std::uint64_t version = 1; version <= changes; ++version) {
+        cluster.submitEntry(leader, routing_table {.version = version, .document = std::string(documentBytes, 'd')});
+        cluster.run(milliseconds(100));
+    }
+    REQUIRE(cluster.outcomes == std::vector<errc>(changes, errc::ok));
+    REQUIRE(cluster.leader() == leader);
+    // Each entry once, and all of them again once a retry interval of about 100 ms.
+    const auto sentBytes = cluster.entryBytesSent[std::pair(leader, slow)];
+    INFO("bytes sent: " << sentBytes);
+    CHECK(sentBytes < changes * (changes + 2) / 2 * documentBytes);
+    cluster.healAll();
+    cluster.run(milliseconds(1000));
+    CHECK(cluster.engine(slow)->ledger().state().routing.version == changes);
+}
+
+// Proposals were taken without a bound while no follower answered.
+TEST_CASE("replica: a leader refuses changes beyond what its memory bears while none is confirmed", "[replica][memory]")
+{
+    constexpr std::size_t documentBytes = 3 * 1024 * 1024;
+    replica_cluster cluster(3, firstSeed);
+    cluster.run(milliseconds(1000));
+    const auto leader = *cluster.leader();
+    for (std::size_t host = 0; host < cluster.size(); ++host) {
+        cluster.cut(host, leader, true);
+    }
+    for (std::uint64_t version = 1; version <= 4; ++version) {
+        cluster.submitEntry(leader, routing_table {.version = version, .document = std::string(documentBytes, 'd')});
+    }
+    CHECK(cluster.outcomes == std::vector<errc>(2, errc::logBusy));
+    cluster.healAll();
+    cluster.run(milliseconds(2000));
+    cluster.outcomes.clear();
+    cluster.submitEntry(*cluster.leader(), routing_table {.version = 9, .document = "later"});
+    cluster.run(milliseconds(500));
+    CHECK(cluster.outcomes == std::vector<errc> {errc::ok});
+}
+
 // Regression test for a sequence found by the property test above: a new disk starts to follow a leader that is replaced before the change
 // that adds the disk is committed. The disk then sent no further join requests and stayed outside the log.
 TEST_CASE("replica: a disk invited by a leader that was replaced meanwhile finds its place (seed 20268276)", "[replica]")
