--- a/include/replica/replica_engine.h
+++ b/include/replica/replica_engine.h
@@ -25,6 +25,17 @@
     virtual void form(const std::string &address, const form_request &request, std::function<void(const form_reply &)> done) = 0;
 };
 
+/// State of the replica for status requests and metrics.
+struct replica_view {
+    replica_role role = replica_role::absent;
+    log_term term = 0;
+    std::optional<replica_id> leader;
+    replica_config config;
+    log_index commit = 0;
+    // A time up to which the applied state is known to be the newest; see `replica_core::confirmedAt`.
+    steady_time confirmedAt {};
+};
+
 /// Receives the applied states of the log, in order, on the replica's thread.
 class ledger_listener
 {
@@ -38,6 +49,10 @@
     virtual void onStopped(std::error_code why) = 0;
     /// The replica has recovered its records after `onStopped`, and takes part in the log again.
     virtual void onRecovered() = 0;
+    /// The role, the term or the known leader of the replica changed.
+    virtual void onRoleChanged(const replica_view &view) = 0;
+    /// The disk took `time` to store what a reply to other replicas waits for, long enough to delay elections.
+    virtual void onSlowDisk(milliseconds time) = 0;
 };
 
 struct replica_node_options {
@@ -56,17 +71,6 @@
     std::size_t maxLogBytes = 16 * 1024 * 1024;
 };
 
-/// State of the replica for status requests and metrics.
-struct replica_view {
-    replica_role role = replica_role::absent;
-    log_term term = 0;
-    std::optional<replica_id> leader;
-    replica_config config;
-    log_index commit = 0;
-    // A time up to which the applied state is known to be the newest; see `replica_core::confirmedAt`.
-    steady_time confirmedAt {};
-};
-
 /// One replica without its thread. Connects core, ledger, store and formation, and carries out the core's output in the order
 /// that durability requires: persist and fsync, then send, then apply. Single-threaded.
 class replica_engine
@@ -123,6 +127,8 @@
     void startCoreIfFormed();
     void startCore(replica_image image);
     bool persist(const replica_output &output);
+    bool persistTimed(const replica_output &output);
+    void reportRole();
     bool apply(const replica_output &output);
     void compactIfNeeded();
     void stopOnStorageError(std::error_code why);
@@ -155,6 +161,8 @@
     std::optional<steady_time> m_nextRecovery;
     // The configuration that was last known, also while the replica is stopped.
     replica_config m_lastConfig;
+    // What the listener was last told.
+    replica_view m_reported;
 };
 
 } // namespace hornbeampick
--- a/src/daemon/replica_link.cpp
+++ b/src/daemon/replica_link.cpp
@@ -1,7 +1,5 @@
 #include "replica_link.h"
 
-#include "observe/log.h"
-
 namespace hornbeampick
 {
 
@@ -26,21 +24,6 @@
     m_agent.onLedger(state, m_isLeader);
 }
 
-void replica_link::onRecordsDamaged(std::error_code reason)
-{
-    logEvent(log_level::error, "replica-records-set-aside", {errorField(reason)});
-}
-
-void replica_link::onStopped(std::error_code reason)
-{
-    logEvent(log_level::error, "replica-stopped", {errorField(reason)});
-}
-
-void replica_link::onRecovered()
-{
-    logEvent(log_level::info, "replica-recovered");
-}
-
 void replica_link::setLeader(bool isLeader)
 {
     m_isLeader = isLeader;
--- a/src/daemon/replica_link.h
+++ b/src/daemon/replica_link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/fleet_agent.h"
+#include "daemon/logging_ledger_listener.h"
 #include "replica/replica_node.h"
 #include "rpc/peer_client.h"
 
@@ -10,7 +11,7 @@
 {
 
 /// Connects the replica to the peer client, which transports its messages, and to the fleet agent, which distributes its state.
-class replica_link final : public replica_transport, public ledger_listener
+class replica_link final : public replica_transport, public logging_ledger_listener
 {
 public:
     replica_link(peer_client &peers, fleet_agent &agent);
@@ -18,9 +19,6 @@
     void send(const replica_message &message) override;
     void form(const std::string &address, const form_request &request, std::function<void(const form_reply &)> done) override;
     void onLedger(const ledger_state &state) override;
-    void onRecordsDamaged(std::error_code reason) override;
-    void onStopped(std::error_code reason) override;
-    void onRecovered() override;
 
     /// Sets whether this replica is the leader; the leader starts the distribution of accepted states.
     void setLeader(bool isLeader);
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -1,5 +1,6 @@
 #include "core/text.h"
 #include "daemon/await_callback.h"
+#include "daemon/logging_ledger_listener.h"
 #include "daemon/process_signals.h"
 #include "node/announcement_persister.h"
 #include "node/node.h"
@@ -49,7 +50,7 @@
 constexpr milliseconds drainPollInterval {20};
 constexpr milliseconds rpcShutdownGrace {300};
 
-class control_node final : public node, public control_api, public control_handler, public replica_transport, public ledger_listener
+class control_node final : public node, public control_api, public control_handler, public replica_transport, public logging_ledger_listener
 {
 public:
     control_node(std::shared_ptr<const schema::node_settings> settings, const node_front_ends &frontEnds)
@@ -271,18 +272,6 @@
         }
         m_state.set(std::make_shared<const ledger_state>(state));
     }
-    void onRecordsDamaged(std::error_code cause) override
-    {
-        logEvent(log_level::error, "replica-records-set-aside", {errorField(cause)});
-    }
-    void onStopped(std::error_code cause) override
-    {
-        logEvent(log_level::error, "replica-stopped", {errorField(cause)});
-    }
-    void onRecovered() override
-    {
-        logEvent(log_level::info, "replica-recovered");
-    }
 
 private:
     replica_node_options replicaOptions() const
--- a/src/replica/replica_engine.cpp
+++ b/src/replica/replica_engine.cpp
@@ -237,7 +237,7 @@
         if (output.empty()) {
             break;
         }
-        if (!persist(output)) {
+        if (!persistTimed(output)) {
             return;
         }
         for (const auto &message : output.messages) {
@@ -257,6 +257,16 @@
         }
         m_lastRole = m_core->role();
         m_lastConfig = m_core->config();
+        reportRole();
+    }
+}
+
+void replica_engine::reportRole()
+{
+    auto current = view();
+    if (current.role != m_reported.role || current.term != m_reported.term || current.leader != m_reported.leader) {
+        m_listener.onRoleChanged(current);
+        m_reported = std::move(current);
     }
 }
 
@@ -330,6 +340,17 @@
     m_formation.reset();
 }
 
+bool replica_engine::persistTimed(const replica_output &output)
+{
+    const auto start = m_clock.now();
+    const bool isPersisted = persist(output);
+    const auto time = std::chrono::duration_cast<milliseconds>(m_clock.now() - start);
+    if (time >= m_options.electionTimeout / 2) {
+        m_listener.onSlowDisk(time);
+    }
+    return isPersisted;
+}
+
 bool replica_engine::persist(const replica_output &output)
 {
     if (output.hardState) {
--- a/tests/fakes/replica_cluster.cpp
+++ b/tests/fakes/replica_cluster.cpp
@@ -80,6 +80,14 @@
         cluster.stopped.erase(index);
     }
 
+    void onRoleChanged(const replica_view &) override
+    {
+    }
+
+    void onSlowDisk(milliseconds) override
+    {
+    }
+
     replica_cluster &cluster;
     std::size_t index;
     memory_files files;
--- a/tests/replica/replica_node_test.cpp
+++ b/tests/replica/replica_node_test.cpp
@@ -40,6 +40,12 @@
     void onRecovered() override
     {
     }
+    void onRoleChanged(const replica_view &) override
+    {
+    }
+    void onSlowDisk(milliseconds) override
+    {
+    }
 };
 
 struct node_fixture {
