fleet: a control host that knows only a part of the fleet confirms no departure

Cause: without a leader, a confirmation waited for all entry hosts that the process had heard of since its start. After a start behind a cut that is one host, or none. Absent hosts were also forgotten after 15 s while no leader was known.

Evidence: the acknowledgement came in the first try after the start; without the restart the same cut gives 503.

Fix: entry_host_list decides what a confirmation waits for. Present hosts suffice only after a leader has been known for as long as all hosts in touch need to query; a process that has never been in touch for that long refuses at once; hosts stay listed while no leader is known. What is confirmed is then known to every host that was in touch at any time since the process started.

"nodes: a control host that is stopped answers the deregistration in progress" now waits first until the control host confirms departures at all, since it asked within a second of the first start; what it checks is as before.

--- a/include/fleet/entry_host_list.h
+++ b/include/fleet/entry_host_list.h
@@ -69,9 +69,16 @@
     /// Returns the number of listed hosts in `region`, absent ones included.
     [[nodiscard]] std::uint32_t countIn(const region_name &region) const;
 
-    /// Removes hosts whose retention period has passed.
+    /// Removes hosts whose retention period has passed. While no leader of the log is known, hosts stay listed: they may be cut off from this
+    /// control host only.
     void expire(steady_time now);
 
+    /// Records whether this control host knows a leader of the log. To be called at least twice within `absentAfter`.
+    void recordLeader(bool isKnown, steady_time now);
+    /// Returns the hosts that must have applied a change before it is confirmed. Empty when nothing can be confirmed: this process has never
+    /// known a leader for long enough to have heard of all hosts that are in touch.
+    [[nodiscard]] std::optional<required_hosts> requiredForConfirmation(steady_time now) const;
+
 private:
     struct record {
         entry_host host;
@@ -80,6 +87,8 @@
     };
 
     [[nodiscard]] bool isServing(const record &known, steady_time now) const;
+    // True while a leader has been known for as long as it takes all hosts in touch to query this control host. Requires m_lock.
+    [[nodiscard]] bool isInTouch(steady_time now) const;
 
     entry_host_list_options m_options;
     mutable std::mutex m_lock;
@@ -88,6 +97,10 @@
     std::optional<steady_time> m_lastQueryAt;
     // Since when hosts could query this control host without a pause.
     steady_time m_listeningSince;
+    std::optional<steady_time> m_leaderKnownSince;
+    std::optional<steady_time> m_leaderRecordedAt;
+    // This process has been in touch at some time since its start, so that the list has all hosts of then.
+    bool m_wasInTouch = false;
 };
 
 } // namespace hornbeampick
--- a/src/fleet/entry_host_list.cpp
+++ b/src/fleet/entry_host_list.cpp
@@ -114,7 +114,39 @@
 void entry_host_list::expire(steady_time now)
 {
     const std::lock_guard guard(m_lock);
-    std::erase_if(m_records, [&](const auto &item) { return now >= item.second.lastQueryAt + m_options.removedAfter; });
+    if (isInTouch(now)) {
+        std::erase_if(m_records, [&](const auto &item) { return now >= item.second.lastQueryAt + m_options.removedAfter; });
+    }
+}
+
+void entry_host_list::recordLeader(bool isKnown, steady_time now)
+{
+    const std::lock_guard guard(m_lock);
+    // A process that was suspended may have missed the queries of others since.
+    const bool hasPaused = m_leaderRecordedAt && now >= *m_leaderRecordedAt + m_options.absentAfter;
+    m_leaderRecordedAt = now;
+    if (!isKnown || hasPaused) {
+        m_leaderKnownSince.reset();
+    }
+    if (isKnown && !m_leaderKnownSince) {
+        m_leaderKnownSince = now;
+    }
+    m_wasInTouch = m_wasInTouch || isInTouch(now);
+}
+
+std::optional<required_hosts> entry_host_list::requiredForConfirmation(steady_time now) const
+{
+    const std::lock_guard guard(m_lock);
+    if (isInTouch(now)) {
+        return required_hosts::present;
+    }
+    // A host that is cut off from the log's leader may also be cut off from entry hosts that have not queried it lately.
+    return m_wasInTouch ? std::optional(required_hosts::includingAbsent) : std::nullopt;
+}
+
+bool entry_host_list::isInTouch(steady_time now) const
+{
+    return m_leaderKnownSince && now >= *m_leaderKnownSince + m_options.absentAfter;
 }
 
 } // namespace hornbeampick
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -155,10 +155,14 @@
         if (state < upstream_state::draining) {
             co_return success();
         }
-        // A host that is partitioned from the log's leader may also be partitioned from entry hosts that have not polled it lately.
-        const auto required = knowsLeader() ? required_hosts::present : required_hosts::includingAbsent;
-        auto start = [this, position, required](std::function<void(bool)> done) {
-            m_watchServer.awaitAcknowledgement(position, required, confirmTimeout, std::move(done));
+        m_hosts.recordLeader(knowsLeader(), m_clock.now());
+        const auto required = m_hosts.requiredForConfirmation(m_clock.now());
+        if (!required) {
+            logEvent(log_level::warning, "leaving-not-confirmed", {{"instance", instance.string()}, {"known", false}, {"fleetKnown", false}});
+            co_return make_error_code(errc::notConfirmed);
+        }
+        auto start = [this, position, &required](std::function<void(bool)> done) {
+            m_watchServer.awaitAcknowledgement(position, *required, confirmTimeout, std::move(done));
         };
         const auto deadline = m_clock.now() + confirmTimeout;
         const bool isAcknowledged = co_await awaitCallback<bool>(start);
@@ -324,6 +328,7 @@
             if (m_announcements.expire(now)) {
                 m_persister->notifyChanged();
             }
+            m_hosts.recordLeader(knowsLeader(), now);
             m_hosts.expire(now);
             const auto view = m_replica->view();
             m_watchServer.setConfirmedAt(view.confirmedAt);
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -533,3 +533,42 @@
     directory.onReports("c3", 1, std::vector {deregistrationOf("a", left + 500)}, clock.now());
     REQUIRE(only(directory.upstreams(clock.now())).report.state == upstream_state::active);
 }
+
+// An absent host was removed after its retention period although no leader was known, so that a departure was confirmed without it.
+TEST_CASE("entry_host_list: hosts that a control host without a leader no longer hears stay required", "[fleet]")
+{
+    manual_clock clock;
+    entry_host_list hosts({.absentAfter = milliseconds(1500), .removedAfter = milliseconds(15000), .startedAt = clock.now()});
+    const auto pass = [&](milliseconds time, bool isLeaderKnown, std::initializer_list<const char *> names) {
+        for (milliseconds passed {0}; passed < time; passed += milliseconds(500)) {
+            for (const auto *name : names) {
+                hosts.recordProgress({.host = host_name(name), .region = region_name("r"), .incarnation = 1}, 5, clock.now());
+            }
+            hosts.recordLeader(isLeaderKnown, clock.now());
+            hosts.expire(clock.now());
+            clock.advance(milliseconds(500));
+        }
+    };
+    // Nothing is known of the fleet yet.
+    pass(milliseconds(1000), false, {"near"});
+    CHECK(!hosts.requiredForConfirmation(clock.now()));
+    pass(milliseconds(1000), true, {"near"});
+    CHECK(!hosts.requiredForConfirmation(clock.now()));
+    pass(milliseconds(2000), true, {"near", "far"});
+    CHECK(hosts.requiredForConfirmation(clock.now()) == required_hosts::present);
+    // Cut off from the leader and from one host for longer than the retention period.
+    pass(milliseconds(20000), false, {"near"});
+    CHECK(hosts.requiredForConfirmation(clock.now()) == required_hosts::includingAbsent);
+    CHECK(hosts.count() == 2);
+    CHECK(!hosts.allCaughtUp(5, required_hosts::includingAbsent, clock.now()));
+    // In touch again: the list is that of the hosts that are in touch.
+    pass(milliseconds(1000), true, {"near"});
+    CHECK(hosts.requiredForConfirmation(clock.now()) == required_hosts::includingAbsent);
+    pass(milliseconds(2000), true, {"near"});
+    CHECK(hosts.requiredForConfirmation(clock.now()) == required_hosts::present);
+    CHECK(hosts.count() == 1);
+    // After a pause of the process too.
+    clock.advance(milliseconds(4000));
+    hosts.recordLeader(true, clock.now());
+    CHECK(hosts.requiredForConfirmation(clock.now()) == required_hosts::includingAbsent);
+}
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -709,6 +709,29 @@
 }
 
 // A deregistration that waited for entry hosts when its control host was stopped got no answer at all.
+// A control host that had just started took the entry hosts that it had heard of for all there are, and confirmed a departure that an entry host
+// on the other side of a cut never learned.
+TEST_CASE("nodes: a control host that starts without a leader confirms no departure", "[integration][nodes]")
+{
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    fixture.fleet.signal("entry-1", SIGSTOP);
+    for (const auto *name : {"control-0", "control-2", "control-1"}) {
+        fixture.fleet.kill(name);
+    }
+    fixture.upstreams.remove("n");
+    fixture.fleet.start("control-1");
+    const auto status = [&](int sequence) { return fixture.fleet.report(1, "n", fixture.north.address(), "draining", 100000 + sequence, "north-a"); };
+    REQUIRE(awaitCondition([&] { return status(0) != 0; }));
+    for (int i = 1; i < 30; ++i) {
+        CHECK(status(i) == 503);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    fixture.fleet.signal("entry-1", SIGCONT);
+    fixture.fleet.start("control-0");
+    CHECK(awaitCondition([&] { return status(100) == 200; }));
+}
+
 TEST_CASE("nodes: a control host that is stopped answers the deregistration in progress", "[integration][nodes]")
 {
     using std::chrono::milliseconds;
@@ -716,6 +739,8 @@
     CAPTURE(isAcknowledged);
     node_fixture fixture;
     INFO(fixture.fleet.logs());
+    // A control host confirms nothing until it has been in touch with a leader for a while.
+    REQUIRE(awaitCondition([&] { return fixture.fleet.leave(0, "another") == 200; }));
     fixture.upstreams.remove("s");
     fixture.fleet.signal("entry-1", SIGSTOP);
     unsigned status = 0;
