steering: entry hosts take turns at a cold upstream when their shares are below one a second

Cause: the rate of a cold upstream is divided among the entry hosts of its region, but each host kept one request a second.

Fix: shares below one a second are turns of a seventh of a second, counted from the end of the warm-up. Control hosts tell each host its place in the list; counts that differ among control hosts no longer matter, since the largest of the last 3 s decides. The sum over all hosts is then at most one request a turn, and a host that believes in another count shifts its turn but gets no more of them.

--- a/include/rpc/control_client.h
+++ b/include/rpc/control_client.h
@@ -39,6 +39,8 @@
     std::vector<std::string> controlHosts;
     std::uint32_t entryHosts = 0;
     std::uint32_t entryHostsInRegion = 0;
+    /// Position of the watcher among the entry hosts of its region, from 1 on; 0 from releases that do not tell.
+    std::uint32_t placeInRegion = 0;
     std::vector<upstream_death> deaths;
     /// Entry hosts through which an isolated watcher can serve.
     std::vector<relay_peer> relayPeers {};
--- a/include/steering/dispatcher.h
+++ b/include/steering/dispatcher.h
@@ -9,8 +9,8 @@
 #include "core/topology.h"
 #include "fleet/upstream_directory.h"
 #include "rules/routing_table.h"
+#include "steering/cold_share.h"
 #include "steering/spill_share.h"
-#include "steering/window_limiter.h"
 
 #include <atomic>
 #include <cstdint>
@@ -128,8 +128,8 @@
     void setServices(std::span<const routed_service> services);
     /// Sets the evacuated failure domains; their upstreams receive no requests.
     void setEvacuated(std::span<const domain_name> domains);
-    /// Sets the number of entry hosts that share the rate limit of each cold upstream in this region.
-    void setHostsInRegion(std::uint32_t hosts);
+    /// Sets the place of this host among the entry hosts that share the rate limit of each cold upstream in this region.
+    void setRegionShare(const share_of_hosts &share);
 
     /// Chooses an upstream and counts the request as in flight there. Every grant has to be passed to `finish`.
     dispatch_result selectUpstream(const dispatch_request &request);
@@ -186,7 +186,7 @@
         bool leaving = false;
         // It wants no requests until then.
         steady_time deferredUntil {};
-        window_limiter coldLimiter;
+        cold_share coldShare;
     };
     // What this host knows about one service.
     struct service_record {
@@ -233,7 +233,7 @@
     clock_source &m_clock;
     random_source &m_random;
     shards<service_records> m_records;
-    std::atomic<std::uint32_t> m_hostsInRegion {4};
+    std::atomic<share_of_hosts> m_regionShare {share_of_hosts {.hosts = 4}};
     published<std::vector<domain_name>> m_evacuated;
 };
 
--- a/src/codec/control_codec.cpp
+++ b/src/codec/control_codec.cpp
@@ -78,6 +78,7 @@
     }
     message.set_entry_hosts(value.entryHosts);
     message.set_entry_hosts_in_region(value.entryHostsInRegion);
+    message.set_place_in_region(value.placeInRegion);
     encodeAll(value.deaths, message.mutable_deaths());
     encodeAll(value.relayPeers, message.mutable_relay_peers());
     using limits = std::numeric_limits<std::int32_t>;
@@ -98,6 +99,7 @@
     answer.controlHosts.assign(value.control_hosts().begin(), value.control_hosts().end());
     answer.entryHosts = value.entry_hosts();
     answer.entryHostsInRegion = value.entry_hosts_in_region();
+    answer.placeInRegion = value.place_in_region();
     answer.deaths = decodeAll<upstream_death>(value.deaths());
     answer.relayPeers = decodeAll<relay_peer>(value.relay_peers());
     answer.stateAge = milliseconds(value.state_age_ms());
--- a/src/fleet/entry_host_list.cpp
+++ b/src/fleet/entry_host_list.cpp
@@ -105,6 +105,16 @@
     return static_cast<std::uint32_t>(m_records.size());
 }
 
+std::uint32_t entry_host_list::placeInRegion(const entry_host &host) const
+{
+    const std::lock_guard guard(m_lock);
+    const auto end = m_records.upper_bound(host.host);
+    if (!m_records.contains(host.host)) {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(std::count_if(m_records.begin(), end, [&](const auto &item) { return item.second.host.region == host.region; }));
+}
+
 std::uint32_t entry_host_list::countIn(const region_name &region) const
 {
     const std::lock_guard guard(m_lock);
--- a/src/node/control_watch.cpp
+++ b/src/node/control_watch.cpp
@@ -1,5 +1,6 @@
 #include "control_watch.h"
 
+#include "core/digest.h"
 #include "daemon/await_callback.h"
 #include "node_common.h"
 #include "observe/log.h"
@@ -26,6 +27,8 @@
 // Time for the answer beyond the long-poll timeout: two of the longest one-way delays and a slow host.
 constexpr milliseconds responseGrace {700};
 constexpr milliseconds retryDelay {100};
+// What a control host tells of the entry hosts is used for this long, a few long polls.
+constexpr milliseconds fleetShareLifetime {3000};
 
 } // namespace
 
@@ -147,8 +150,7 @@
         host.position = answer.position;
     }
     m_parts.dispatch.setUpstreams(m_directory.takeChanges(now));
-    m_parts.dispatch.setHostsInRegion(answer.entryHostsInRegion);
-    m_parts.retries.setMaxTokens(std::max(1.0, m_options.retrySlack / std::max(answer.entryHosts, 1U)));
+    updateFleetShare(host, answer, now);
     for (const auto &death : answer.deaths) {
         m_parts.poison.report(death, now);
     }
@@ -165,6 +167,27 @@
     }
 }
 
+void control_watch::updateFleetShare(watched_host &teller, const watch_answer &answer, steady_time now)
+{
+    const auto hostsInRegion = std::max(answer.entryHostsInRegion, 1U);
+    const bool tellsPlace = answer.placeInRegion > 0 && answer.placeInRegion <= hostsInRegion;
+    const auto index = tellsPlace ? answer.placeInRegion - 1 : static_cast<std::uint32_t>(stableHash(m_self.host.view()) % hostsInRegion);
+    teller.fleet = {.hosts = std::max(answer.entryHosts, 1U), .region = {.hosts = hostsInRegion, .index = index}};
+    teller.fleetToldAt = now;
+    fleet_share largest = teller.fleet;
+    for (const auto &[address, each] : m_controlHosts) {
+        if (now >= each.fleetToldAt + fleetShareLifetime) {
+            continue;
+        }
+        largest.hosts = std::max(largest.hosts, each.fleet.hosts);
+        if (each.fleet.region.hosts > largest.region.hosts) {
+            largest.region = each.fleet.region;
+        }
+    }
+    m_parts.dispatch.setRegionShare(largest.region);
+    m_parts.retries.setMaxTokens(std::max(1.0, m_options.retrySlack / largest.hosts));
+}
+
 void control_watch::applyState(const ledger_state &state)
 {
     if (state.appliedIndex <= m_appliedIndex) {
--- a/src/node/control_watch.h
+++ b/src/node/control_watch.h
@@ -66,12 +66,20 @@
     }
 
 private:
+    // The entry hosts among which limits are divided, as a control host tells.
+    struct fleet_share {
+        std::uint32_t hosts = 0;
+        share_of_hosts region;
+    };
     // A control host, with the position up to which its announcements have been received.
     struct watched_host {
         std::uint64_t incarnation = 0;
         std::uint64_t position = 0;
         std::size_t deathsReported = 0;
         bool reachable = false;
+        // What the control host told last of the entry hosts, and when.
+        fleet_share fleet {};
+        steady_time fleetToldAt {};
     };
 
     // Immediately reports to all control hosts whether this host serves callers.
@@ -81,6 +89,9 @@
     boost::asio::awaitable<bool> poll(const std::string &address, milliseconds wait);
     void applyAnswer(const std::string &address, const watch_answer &answer);
     void applyState(const ledger_state &state);
+    // Adopts the share in what entry hosts divide among them. A control host that has just started, or is cut off, knows too few hosts: the one
+    // that knows most of them decides.
+    void updateFleetShare(watched_host &teller, const watch_answer &answer, steady_time now);
 
     control_watch_parts m_parts;
     control_watch_options m_options;
--- a/src/node/watch_server.cpp
+++ b/src/node/watch_server.cpp
@@ -131,6 +131,7 @@
         .controlHosts = *m_controlHosts.get(),
         .entryHosts = m_hosts.count(),
         .entryHostsInRegion = m_hosts.countIn(query.watcher.region),
+        .placeInRegion = m_hosts.placeInRegion(query.watcher),
         .deaths = m_announcements.deathsAfter(knownPosition),
     };
     if (query.watcher.isolated) {
--- a/src/steering/dispatcher.cpp
+++ b/src/steering/dispatcher.cpp
@@ -149,9 +149,6 @@
         each.report = report;
         each.region = m_fleet.regionOf(report.domain).value_or(region_name());
         each.warmupEnd = std::max(each.warmupEnd, known.warmupEnd);
-        if (each.warmupEnd <= now) {
-            each.coldLimiter.setLimit(0);
-        }
     });
 }
 
@@ -197,9 +194,9 @@
     return isKnown ? &found->second : nullptr;
 }
 
-void dispatcher::setHostsInRegion(std::uint32_t hosts)
+void dispatcher::setRegionShare(const share_of_hosts &share)
 {
-    m_hostsInRegion = std::max(hosts, 1U);
+    m_regionShare = {.hosts = std::max(share.hosts, 1U), .index = share.index};
 }
 
 dispatch_result dispatcher::selectUpstream(const dispatch_request &request)
@@ -306,7 +303,7 @@
             .othersLoad = loads.remote,
             .othersSlots = loads.remoteSlots,
             .regions = loads.regions,
-            .hosts = m_hostsInRegion,
+            .hosts = m_regionShare.load().hosts,
             .serviceTimeMs
             = serviceRecord.serviceTimeMs > 0 ? serviceRecord.serviceTimeMs : initialServiceTimeFactor * static_cast<double>(request.targetLatency.count()),
         },
@@ -348,7 +345,7 @@
 {
     const bool hadFreeSlot = chosen.hasFreeSlot();
     if (chosen.cold) {
-        chosen.upstream->coldLimiter.take(1, now);
+        chosen.upstream->coldShare.take(now);
     }
     ++chosen.upstream->inFlight;
     const auto &report = chosen.upstream->report;
@@ -416,12 +413,9 @@
     return std::min(std::max(slackMs, minWaitFraction * serviceTimeMs) * waitFactorOf(request.priority), limitMs);
 }
 
-// The rate limit of a cold upstream is divided evenly among the entry hosts of its region.
 bool dispatcher::coldRateAllows(const service_record &serviceRecord, tracked_upstream &cold, steady_time now) const
 {
-    const double rate = std::floor(coldRateFraction * serviceRecord.coldPerSecond / m_hostsInRegion.load());
-    cold.coldLimiter.setLimit(static_cast<std::uint64_t>(std::max(1.0, rate)));
-    return cold.coldLimiter.used(now) < cold.coldLimiter.limit();
+    return cold.coldShare.allows(coldRateFraction * serviceRecord.coldPerSecond, m_regionShare, cold.warmupEnd, now);
 }
 
 // Returns the time until the first upstream accepts requests again when all upstreams for the request, or all on the side to which it is
--- a/tests/fakes/load_replay.cpp
+++ b/tests/fakes/load_replay.cpp
@@ -78,7 +78,8 @@
                 options.spill = load.spill;
                 m_entries.push_back(std::make_unique<dispatcher>(options, m_fleet, m_clock, m_random));
                 m_entries.back()->setUpstreams(known);
-                m_entries.back()->setHostsInRegion(static_cast<std::uint32_t>(load.regions[region].entryHosts));
+                m_entries.back()->setRegionShare(
+                    {.hosts = static_cast<std::uint32_t>(load.regions[region].entryHosts), .index = static_cast<std::uint32_t>(i)});
                 m_regionOf.push_back(region);
             }
         }
--- a/tests/rpc/control_codec_test.cpp
+++ b/tests/rpc/control_codec_test.cpp
@@ -10,7 +10,7 @@
 // Parsing ended at the first text that was not UTF-8: the upstreams after it, the routes and the numbers of hosts were lost.
 TEST_CASE("control codec: a watch reply is complete although one record has text that is not UTF-8", "[announcements]")
 {
-    watch_answer answer {.source = 7, .position = 9, .controlHosts = {"10.0.0.1:80"}, .entryHosts = 3, .entryHostsInRegion = 2};
+    watch_answer answer {.source = 7, .position = 9, .controlHosts = {"10.0.0.1:80"}, .entryHosts = 3, .entryHostsInRegion = 2, .placeInRegion = 2};
     for (const auto *name : {"a", "\xff\xfe", "b"}) {
         answer.upstreams.push_back({.service = service_name("s"), .instance = instance_name(name), .address = "10.0.0.2:80", .incarnation = 1});
     }
--- a/tests/steering/dispatcher_test.cpp
+++ b/tests/steering/dispatcher_test.cpp
@@ -164,7 +164,7 @@
     auto far = upstreamOf("b", "far-a", 100);
     far.warmupEnd = cold.warmupEnd;
     fixture.subject.setServices(std::vector<routed_service> {{.name = service, .warmup = milliseconds(3000), .warmupPerSecond = 13}});
-    fixture.subject.setHostsInRegion(3);
+    fixture.subject.setRegionShare({.hosts = 3});
     fixture.announce({cold, far});
     std::vector<steady_time> sent;
     for (int i = 0; i < 3000; ++i) {
@@ -187,7 +187,7 @@
 {
     dispatcher_fixture fixture;
     fixture.subject.setServices(std::vector<routed_service> {{.name = service, .warmup = milliseconds(3000), .warmupPerSecond = 4}});
-    fixture.subject.setHostsInRegion(1);
+    fixture.subject.setRegionShare({.hosts = 1});
     fixture.announce({upstreamOf("a", "home-a", 100)});
     const std::vector domains {domain_name("home-a")};
     fixture.subject.setEvacuated(domains);
@@ -398,7 +398,7 @@
 TEST_CASE("dispatcher: while all upstreams of the region are deferred its requests leave only in small steps", "[dispatcher]")
 {
     dispatcher_fixture fixture;
-    fixture.subject.setHostsInRegion(1);
+    fixture.subject.setRegionShare({.hosts = 1});
     fixture.announce({upstreamOf("a", "home-a", 50), upstreamOf("b", "home-b", 50), upstreamOf("c", "far-a", 200)});
     const auto shareThatLeaves = [&](int requests) {
         int left = 0;
@@ -540,3 +540,46 @@
         }
     }));
 }
+
+// Each entry host sent a cold upstream at least one request a second: 24 hosts together overran it as soon as it joined.
+TEST_CASE("dispatcher: all hosts of a region together keep the rate of a cold upstream, however many they are", "[dispatcher][cold]")
+{
+    constexpr std::uint32_t allowedPerSecond = 13;
+    constexpr auto warmup = seconds(6);
+    const std::uint32_t hosts = GENERATE(1U, 7U, 8U, 24U, 73U);
+    // Some hosts have not heard of the newest ones yet.
+    const std::uint32_t unknownHosts = GENERATE(0U, 2U);
+    CAPTURE(hosts, unknownHosts);
+    dispatcher_fixture clocks;
+    std::vector<std::unique_ptr<dispatcher>> all;
+    for (std::uint32_t i = 0; i < hosts; ++i) {
+        all.push_back(std::make_unique<dispatcher>(dispatcher_options {.region = region_name("home")}, clocks.fleet, clocks.clock, clocks.random));
+        const bool knowsAll = i % 2 == 0 || hosts <= unknownHosts || i >= hosts - unknownHosts;
+        all.back()->setRegionShare({.hosts = knowsAll ? hosts : hosts - unknownHosts, .index = i});
+        all.back()->setServices(std::vector<routed_service> {{.name = service, .warmup = warmup, .warmupPerSecond = 2}});
+        auto cold = upstreamOf("cold", "home-a", 100);
+        // The news reaches the hosts at different times.
+        cold.warmupEnd = clocks.clock.now() + warmup + milliseconds(i % 5 * 10);
+        all.back()->setUpstreams(std::vector<known_upstream> {cold});
+    }
+    std::vector<steady_time> sentAt;
+    const auto start = clocks.clock.now();
+    while (clocks.clock.now() < start + warmup) {
+        for (const auto &host : all) {
+            const auto verdict = host->selectUpstream(dispatcher_fixture::request());
+            if (const auto *grant = std::get_if<dispatch_grant>(&verdict)) {
+                sentAt.push_back(clocks.clock.now());
+                host->finish(*grant, dispatch_outcome::answered, std::nullopt);
+            }
+        }
+        clocks.clock.advance(milliseconds(10));
+    }
+    for (const auto &first : sentAt) {
+        const auto withinSecond = std::ranges::count_if(sentAt, [&](steady_time each) { return each >= first && each < first + seconds(1); });
+        REQUIRE(withinSecond <= allowedPerSecond);
+    }
+    // The warm-up gets as many requests as with seven hosts of one a second each, or nearly.
+    const auto atSeven = std::min(hosts, cold_share::minRate) * 6;
+    INFO("sent: " << sentAt.size());
+    CHECK(sentAt.size() * 10 >= atSeven * 8);
+}
