node: an entry host gets a changed configuration from one control host

Cause: each control host answered each entry host's long poll with the whole table, so that one change cost nine tables on links of 4.7 to 6 Mbit/s.

Evidence: 27 tables sent for three changes with nine control hosts.

Fix: long polls ask for positions only; the state is fetched from one control host, the nearest that has a newer one, from a second one beside it after 0.7 s, and compressed. The lease on the routes is renewed only by hosts that have no newer state. Former builds are served as before, and understood.

--- a/src/node/control_watch.h
+++ b/include/node/control_watch.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <mutex>
 #include <string>
@@ -44,6 +45,9 @@
 /// Long-polls all control hosts concurrently. Applies routes and evacuations in order of the log index, which only increases, and
 /// merges the upstream announcements of all control hosts. The last known state stays in use while no control host answers. Runs
 /// on the only thread of its io_context.
+///
+/// The long polls tell the log index of each control host only. The state itself is fetched from one host that has a newer one, the nearest
+/// first; from another one beside it when that takes long. Control hosts of a former release send the state with each answer.
 class control_watch
 {
 public:
@@ -77,6 +81,11 @@
         std::uint64_t position = 0;
         std::size_t deathsReported = 0;
         bool reachable = false;
+        // Index of the state that it told last.
+        log_index appliedIndex = 0;
+        bool isSendingState = false;
+        // The shortest time in which it has answered, an upper bound of the round-trip time.
+        steady_time::duration fastestAnswer = steady_time::duration::max();
         // What the control host told last of the entry hosts, and when.
         fleet_share fleet {};
         steady_time fleetToldAt {};
@@ -86,7 +95,22 @@
     void setServing(bool serving);
     void pollAllNow();
     boost::asio::awaitable<void> pollLoop(std::string address);
+    // What a query asks for, and how long it may take.
+    struct query_options {
+        bool wantsState = false;
+        milliseconds wait {0};
+        milliseconds timeout {0};
+    };
     boost::asio::awaitable<bool> poll(const std::string &address, milliseconds wait);
+    boost::asio::awaitable<bool> ask(const std::string &address, const query_options &options);
+    // Fetches the state until no control host is known to have a newer one.
+    boost::asio::awaitable<void> fetchLoop();
+    boost::asio::awaitable<void> fetchFrom(std::string address);
+    [[nodiscard]] bool isBehind() const;
+    // Returns the address of the nearest control host that is known to have a newer state and does not send it already; null when there is none.
+    [[nodiscard]] const std::string *chooseSource() const;
+    // Returns true when a nearer control host than all those that have a newer state may soon have it too.
+    [[nodiscard]] bool mayNearerHostFollow() const;
     void applyAnswer(const std::string &address, const watch_answer &answer);
     void applyState(const ledger_state &state);
     // Adopts the share in what entry hosts divide among them. A control host that has just started, or is cut off, knows too few hosts: the one
@@ -99,6 +123,8 @@
     std::map<std::string, watched_host> m_controlHosts;
     upstream_directory m_directory;
     log_index m_appliedIndex = 0;
+    bool m_isFetching = false;
+    boost::asio::steady_timer m_fetchTimer;
     entry_host m_self;
     bool m_servingStopped = false;
     std::atomic<bool> m_hasInitialState {false};
--- a/include/rpc/control_client.h
+++ b/include/rpc/control_client.h
@@ -21,6 +21,8 @@
     std::uint64_t position = 0;
     /// Log index that the watcher has applied.
     log_index appliedIndex = 0;
+    /// The answer shall not contain the state.
+    bool positionsOnly = false;
     /// How long the control host may hold the answer while there is no change.
     milliseconds wait {0};
     /// Upstream deaths that the watcher has observed.
@@ -33,7 +35,9 @@
     std::uint64_t position = 0;
     /// Upstreams whose announcements changed after the watcher's position; all of them when the query was for another source.
     std::vector<upstream_report> upstreams;
-    /// Absent when the watcher is up to date.
+    /// Log index of the last change of the state that the control host has applied; 0 from releases that do not tell.
+    log_index appliedIndex = 0;
+    /// Absent when the watcher is up to date or asked for positions only.
     std::optional<ledger_state> state;
     /// Peer addresses of the control hosts that hold the log.
     std::vector<std::string> controlHosts;
--- a/src/codec/control_codec.cpp
+++ b/src/codec/control_codec.cpp
@@ -37,6 +37,7 @@
     message.set_source(value.source);
     message.set_position(value.position);
     message.set_applied_index(value.appliedIndex);
+    message.set_positions_only(value.positionsOnly);
     message.set_wait_ms(static_cast<std::uint32_t>(value.wait.count()));
     encodeAll(value.deaths, message.mutable_deaths());
     return message;
@@ -59,6 +60,7 @@
         .source = value.source(),
         .position = value.position(),
         .appliedIndex = value.applied_index(),
+        .positionsOnly = value.positions_only(),
         .wait = milliseconds(value.wait_ms()),
         .deaths = decodeAll<upstream_death>(value.deaths()),
     };
@@ -79,6 +81,7 @@
     message.set_entry_hosts(value.entryHosts);
     message.set_entry_hosts_in_region(value.entryHostsInRegion);
     message.set_place_in_region(value.placeInRegion);
+    message.set_applied_index(value.appliedIndex);
     encodeAll(value.deaths, message.mutable_deaths());
     encodeAll(value.relayPeers, message.mutable_relay_peers());
     using limits = std::numeric_limits<std::int32_t>;
@@ -100,6 +103,7 @@
     answer.entryHosts = value.entry_hosts();
     answer.entryHostsInRegion = value.entry_hosts_in_region();
     answer.placeInRegion = value.place_in_region();
+    answer.appliedIndex = value.applied_index();
     answer.deaths = decodeAll<upstream_death>(value.deaths());
     answer.relayPeers = decodeAll<relay_peer>(value.relay_peers());
     answer.stateAge = milliseconds(value.state_age_ms());
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -4,12 +4,12 @@
 #include "daemon/process_signals.h"
 #include "node/announcement_persister.h"
 #include "node/node.h"
+#include "node/watch_server.h"
 #include "node_common.h"
 #include "observe/log.h"
 #include "replica/replica_node.h"
 #include "settings/settings_file.h"
 #include "storage/replica_file_store.h"
-#include "watch_server.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/src/node/control_watch.cpp
+++ b/src/node/control_watch.cpp
@@ -1,4 +1,4 @@
-#include "control_watch.h"
+#include "node/control_watch.h"
 
 #include "core/digest.h"
 #include "daemon/await_callback.h"
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <utility>
 
 namespace hornbeampick
 {
@@ -27,6 +28,11 @@
 // Time for the answer beyond the long-poll timeout: two of the longest one-way delays and a slow host.
 constexpr milliseconds responseGrace {700};
 constexpr milliseconds retryDelay {100};
+// The nearest control host learns of a change at most a network delay and a disk write after the first one.
+constexpr milliseconds nearerHostDelay {100};
+// A second control host is asked for the state when the first has not sent it in this time; its transfer goes on.
+constexpr milliseconds secondFetchDelay {700};
+constexpr milliseconds fetchTimeout {5000};
 // What a control host tells of the entry hosts is used for this long, a few long polls.
 constexpr milliseconds fleetShareLifetime {3000};
 
@@ -37,6 +43,7 @@
     , m_options(options)
     , m_context(context)
     , m_self(options.self)
+    , m_fetchTimer(context)
 {
 }
 
@@ -109,14 +116,76 @@
 }
 
 asio::awaitable<bool> control_watch::poll(const std::string &address, milliseconds wait)
+{
+    const query_options options {.wantsState = false, .wait = wait, .timeout = wait + responseGrace};
+    co_return co_await ask(address, options);
+}
+
+bool control_watch::isBehind() const
+{
+    return std::ranges::any_of(m_controlHosts, [this](const auto &item) { return item.second.appliedIndex > m_appliedIndex; });
+}
+
+const std::string *control_watch::chooseSource() const
+{
+    const std::string *nearest = nullptr;
+    auto nearestTime = steady_time::duration::max();
+    for (const auto &[address, host] : m_controlHosts) {
+        const bool isSource = host.appliedIndex > m_appliedIndex && !host.isSendingState;
+        if (isSource && (nearest == nullptr || host.fastestAnswer < nearestTime)) {
+            nearest = &address;
+            nearestTime = host.fastestAnswer;
+        }
+    }
+    return nearest;
+}
+
+bool control_watch::mayNearerHostFollow() const
+{
+    const auto *source = chooseSource();
+    const auto sourceTime = source == nullptr ? steady_time::duration::max() : m_controlHosts.at(*source).fastestAnswer;
+    return std::ranges::any_of(m_controlHosts, [&](const auto &item) { return item.second.reachable && item.second.fastestAnswer < sourceTime; });
+}
+
+asio::awaitable<void> control_watch::fetchLoop()
+{
+    if (mayNearerHostFollow()) {
+        m_fetchTimer.expires_after(nearerHostDelay);
+        co_await m_fetchTimer.async_wait(noThrow);
+    }
+    while (isBehind()) {
+        if (const auto *source = chooseSource()) {
+            asio::co_spawn(m_context, fetchFrom(*source), asio::detached);
+        }
+        m_fetchTimer.expires_after(secondFetchDelay);
+        co_await m_fetchTimer.async_wait(noThrow);
+    }
+    m_isFetching = false;
+}
+
+asio::awaitable<void> control_watch::fetchFrom(std::string address)
+{
+    m_controlHosts[address].isSendingState = true;
+    const query_options options {.wantsState = true, .wait = milliseconds(0), .timeout = fetchTimeout};
+    const bool answered = co_await ask(address, options);
+    m_controlHosts[address].isSendingState = false;
+    if (answered) {
+        m_fetchTimer.cancel();
+    } else {
+        logRateLimited(log_level::warning, "state-not-fetched", {{"address", address}, {"appliedIndex", static_cast<std::int64_t>(m_appliedIndex)}});
+    }
+}
+
+asio::awaitable<bool> control_watch::ask(const std::string &address, const query_options &options)
 {
     auto &host = m_controlHosts[address];
     watch_query query {
         .watcher = m_self,
         .source = host.incarnation,
         .position = host.position,
-        .appliedIndex = m_appliedIndex,
-        .wait = wait,
+        .appliedIndex = options.wantsState ? m_appliedIndex : std::max(m_appliedIndex, host.appliedIndex),
+        .positionsOnly = !options.wantsState,
+        .wait = options.wait,
     };
     std::size_t deathCount = 0;
     const auto askedAt = m_parts.clock.bootNow();
@@ -125,14 +194,17 @@
         query.deaths.assign(m_deaths.begin() + static_cast<std::ptrdiff_t>(host.deathsReported), m_deaths.end());
         deathCount = m_deaths.size();
     }
-    auto start = [&](std::function<void(result<watch_answer>)> done) { m_parts.peers.watch(address, query, wait + responseGrace, std::move(done)); };
+    auto start = [&](std::function<void(result<watch_answer>)> done) { m_parts.peers.watch(address, query, options.timeout, std::move(done)); };
     const auto answer = co_await awaitCallback<result<watch_answer>>(start);
     if (!answer) {
         co_return false;
     }
     host.deathsReported = deathCount;
+    host.fastestAnswer = std::min(host.fastestAnswer, m_parts.clock.bootNow() - askedAt);
     applyAnswer(address, answer.value());
-    m_parts.lease.renew(askedAt - answer.value().stateAge);
+    if (answer.value().appliedIndex <= m_appliedIndex) {
+        m_parts.lease.renew(askedAt - answer.value().stateAge);
+    }
     co_return true;
 }
 
@@ -145,6 +217,7 @@
         applyState(*answer.state);
     }
     if (!stale) {
+        host.appliedIndex = answer.appliedIndex;
         m_directory.onReports(address, answer.source, usableReports(answer.upstreams, address, m_parts.clock.wallNow()), now);
         host.incarnation = answer.source;
         host.position = answer.position;
@@ -160,6 +233,9 @@
     }
     m_upstreamsKnown = m_upstreamsKnown || !answer.upstreams.empty();
     addSeeds(answer.controlHosts);
+    if (isBehind() && !std::exchange(m_isFetching, true)) {
+        asio::co_spawn(m_context, fetchLoop(), asio::detached);
+    }
     const bool hasState = m_upstreamsKnown && m_parts.routes.get() != nullptr;
     if (hasState && !m_hasInitialState.exchange(true)) {
         logEvent(log_level::info, "informed", {{"appliedIndex", static_cast<std::int64_t>(m_appliedIndex)}});
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -1,6 +1,6 @@
-#include "control_watch.h"
 #include "core/text.h"
 #include "daemon/process_signals.h"
+#include "node/control_watch.h"
 #include "node/node.h"
 #include "node_common.h"
 #include "observe/log.h"
--- a/src/node/watch_server.cpp
+++ b/src/node/watch_server.cpp
@@ -1,4 +1,4 @@
-#include "watch_server.h"
+#include "node/watch_server.h"
 
 #include <algorithm>
 
@@ -48,7 +48,12 @@
 
 void watch_server::setState(const ledger_state &state)
 {
-    m_state.set(std::make_shared<const ledger_state>(state));
+    auto forWatchers = std::make_shared<ledger_state>(state);
+    // Entry hosts do not need these.
+    forWatchers->history.clear();
+    forWatchers->epochs.clear();
+    forWatchers->routing.document.clear();
+    m_state.set(std::move(forWatchers));
     completeReady();
 }
 
@@ -140,12 +145,11 @@
     // Read before the state, which is then at least as new.
     answer.stateAge = std::chrono::ceil<milliseconds>(pending.arrivedAt - m_confirmedAt.load());
     const auto state = m_state.get();
-    if (state && query.appliedIndex < state->appliedIndex) {
+    if (state) {
+        answer.appliedIndex = state->appliedIndex;
+    }
+    if (state && query.appliedIndex < state->appliedIndex && !query.positionsOnly) {
         answer.state = *state;
-        // Entry hosts do not need these.
-        answer.state->history.clear();
-        answer.state->epochs.clear();
-        answer.state->routing.document.clear();
     }
     return answer;
 }
--- a/src/rpc/grpc_control_server.cpp
+++ b/src/rpc/grpc_control_server.cpp
@@ -26,7 +26,11 @@
     {
         const control_work_timer work(m_meter, "watch");
         auto *reactor = context->DefaultReactor();
-        m_handler.onWatch(decode(*request), [reactor, reply](const watch_answer &answer) {
+        m_handler.onWatch(decode(*request), [context, reactor, reply](const watch_answer &answer) {
+            if (answer.state) {
+                // The routes are by far the largest part, and compress well.
+                context->set_compression_algorithm(GRPC_COMPRESS_GZIP);
+            }
             *reply = encode(answer);
             reactor->Finish(grpc::Status::OK);
         });
