replica: elections wait longer for votes after one that ended without a leader

Cause: two of six voters had lost their disks, so that each of the other four was needed, and one of them wrote slowly. A candidate waits one to two election timeouts for votes; a vote that is stored later counts for an election that is over, and the next one asks for another term, to be stored again.

Fix: an election that ended without a leader doubles the time of the next, up to eight times; pre-votes stay as frequent. A leader bears two election timeouts without a majority instead of one.

Test, seen red: "replica: a leader is elected although a voter that is needed stores its vote slower than an election lasts".

--- a/include/replica/replica_core.h
+++ b/include/replica/replica_core.h
@@ -150,6 +150,7 @@
     void becomeLeader(steady_time now);
     void restoreConfig();
     void resetElectionDeadline(steady_time now);
+    [[nodiscard]] milliseconds backedOffElectionTimeout() const;
 
     void onPreVoteRequest(const replica_message &message, steady_time now);
     void onPreVoteReply(const replica_message &message, steady_time now);
@@ -189,6 +190,8 @@
     steady_time m_confirmedAt {};
     steady_time m_electionDeadline {};
     steady_time m_heartbeatDeadline {};
+    // Elections of this replica that ended without a leader since it last knew one.
+    unsigned m_failedElections = 0;
     std::set<disk_id> m_votes;
     std::map<disk_id, replica_progress> m_progress;
     replica_output m_output;
--- a/src/replica/replica_core.cpp
+++ b/src/replica/replica_core.cpp
@@ -259,6 +259,7 @@
     }
     becomeFollower(message.term, message.from.disk, now);
     m_lastLeaderContact = now;
+    m_failedElections = 0;
     answer.term = m_hardState.term;
 
     if (message.lastIndex > lastIndex()) {
--- a/src/replica/replica_core_elections.cpp
+++ b/src/replica/replica_core_elections.cpp
@@ -5,6 +5,16 @@
 namespace hornbeampick
 {
 
+namespace
+{
+
+// An election waits up to this many times the election timeout for votes that are stored on slow disks.
+constexpr unsigned maxElectionDoublings = 3;
+// A leader steps down when a majority has not replied for this many election timeouts. A reply may wait for a slow disk.
+constexpr int quorumTimeouts = 2;
+
+} // namespace
+
 void replica_core::transferLeadership(steady_time now)
 {
     if (m_role != replica_role::leader) {
@@ -64,6 +74,9 @@
 
 void replica_core::startPreVote(steady_time now)
 {
+    if (m_role == replica_role::candidate) {
+        ++m_failedElections;
+    }
     m_role = replica_role::preCandidate;
     m_leader = 0;
     m_votes = {m_options.self.disk};
@@ -93,6 +106,7 @@
 void replica_core::becomeLeader(steady_time now)
 {
     m_role = replica_role::leader;
+    m_failedElections = 0;
     m_leader = m_options.self.disk;
     m_progress.clear();
     for (const auto &peer : otherMembers()) {
@@ -104,11 +118,17 @@
 
 void replica_core::resetElectionDeadline(steady_time now)
 {
-    const auto timeout = m_options.electionTimeout;
+    const auto timeout = m_role == replica_role::candidate ? backedOffElectionTimeout() : m_options.electionTimeout;
     const auto jitter = m_random.below(static_cast<std::uint64_t>(timeout.count()) + 1);
     m_electionDeadline = now + timeout + milliseconds(jitter);
 }
 
+// Only elections back off: a round of pre-votes stores nothing, and is repeated soon after a majority can be reached again.
+milliseconds replica_core::backedOffElectionTimeout() const
+{
+    return m_options.electionTimeout * (1U << std::min(m_failedElections, maxElectionDoublings));
+}
+
 void replica_core::onPreVoteRequest(const replica_message &message, steady_time now)
 {
     const bool granted = message.term > m_hardState.term && isLogUpToDate(message) && !hasLiveLeader(now);
@@ -183,7 +203,7 @@
 {
     std::set<disk_id> reachable = {m_options.self.disk};
     for (const auto &[disk, progress] : m_progress) {
-        if (now < progress.lastReply + m_options.electionTimeout) {
+        if (now < progress.lastReply + quorumTimeouts * m_options.electionTimeout) {
             reachable.insert(disk);
         }
     }
--- a/tests/fakes/replica_cluster.cpp
+++ b/tests/fakes/replica_cluster.cpp
@@ -96,6 +96,10 @@
     std::uint64_t incarnation = 0;
     bool frozen = false;
     manual_clock clock;
+    // Each write takes this long; until `busyUntil` the host is writing.
+    milliseconds diskTime {0};
+    steady_time busyUntil {};
+    std::uint64_t operationsBefore = 0;
     // Speed of this host's clock relative to the cluster's.
     double rate = 1;
 };
@@ -225,6 +229,22 @@
     m_delay = delay;
 }
 
+void replica_cluster::slowDisk(std::size_t host, milliseconds time)
+{
+    m_nodes[host]->diskTime = time;
+}
+
+void replica_cluster::process(node &host)
+{
+    host.operationsBefore = host.files.operations();
+    host.engine->tick();
+    host.engine->processOutput();
+    if (host.files.operations() != host.operationsBefore) {
+        host.busyUntil = m_clock.now() + host.diskTime;
+        host.operationsBefore = host.files.operations();
+    }
+}
+
 void replica_cluster::drift(std::size_t host, double rate)
 {
     m_nodes[host]->rate = rate;
@@ -289,9 +309,8 @@
     }
     deliver();
     for (auto &each : m_nodes) {
-        if (each->engine && !each->frozen) {
-            each->engine->tick();
-            each->engine->processOutput();
+        if (each->engine && !each->frozen && m_clock.now() >= each->busyUntil) {
+            process(*each);
         }
     }
     check();
@@ -306,7 +325,7 @@
         if (!node.engine || node.incarnation != next.incarnation) {
             continue;
         }
-        if (node.frozen) {
+        if (node.frozen || m_clock.now() < node.busyUntil) {
             m_network.emplace(m_clock.now() + stepTime, std::move(next));
             continue;
         }
@@ -348,7 +367,10 @@
         if (m_cuts.contains({from, to}) || m_random.below(percent) < m_loss) {
             continue;
         }
-        milliseconds latency = stepTime;
+        auto &sender = *m_nodes[from];
+        // What a host sends after it has written leaves when the write is done.
+        const bool hasWritten = sender.files.operations() != sender.operationsBefore;
+        milliseconds latency = stepTime + (hasWritten ? sender.diskTime : milliseconds(0));
         if (m_random.below(percent) < m_delay) {
             constexpr std::uint64_t maxExtraDelayMs = 300;
             latency += milliseconds(m_random.below(maxExtraDelayMs));
--- a/tests/fakes/replica_cluster.h
+++ b/tests/fakes/replica_cluster.h
@@ -51,6 +51,9 @@
     /// Suspends a host: it neither ticks nor receives, and messages to it are queued.
     void freeze(std::size_t host, bool frozen);
 
+    /// Lets each write of a host, and all that follows it there, take `time`.
+    void slowDisk(std::size_t host, milliseconds time);
+
     /// Makes the clock of a host run at `rate` times the speed of the cluster's clock.
     void drift(std::size_t host, double rate);
 
@@ -83,6 +86,7 @@
     void deliver();
     void check();
     void post(std::size_t from, std::size_t to, std::function<void()> arrival);
+    void process(node &host);
     [[nodiscard]] std::size_t indexOf(std::string_view address) const;
 
     replica_cluster_options m_options;
--- a/tests/replica/replica_engine_test.cpp
+++ b/tests/replica/replica_engine_test.cpp
@@ -967,6 +967,27 @@
     CHECK(cluster.outcomes == std::vector<errc> {errc::ok});
 }
 
+// With the votes of all remaining hosts required, a vote that takes longer to store than an election lasts always came too late: each attempt began
+// a new term, whose vote had to be stored again.
+TEST_CASE("replica: a leader is elected although a voter that is needed stores its vote slower than an election lasts", "[replica]")
+{
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + 10; ++seed) {
+        CAPTURE(seed);
+        replica_cluster cluster(4, seed);
+        cluster.run(milliseconds(1000));
+        const auto leader = *cluster.leader();
+        const auto slow = (leader + 1) % cluster.size();
+        cluster.slowDisk(slow, milliseconds(180));
+        cluster.crash(leader);
+        // Three of four voters are needed and left.
+        cluster.run(milliseconds(2500));
+        REQUIRE(cluster.leader());
+        cluster.submitEntry(*cluster.leader(), routing_table {.version = 5, .document = "five"});
+        cluster.run(milliseconds(2000));
+        REQUIRE(cluster.outcomes == std::vector<errc> {errc::ok});
+    }
+}
+
 // Regression test for a sequence found by the property test above: a new disk starts to follow a leader that is replaced before the change
 // that adds the disk is committed. The disk then sent no further join requests and stayed outside the log.
 TEST_CASE("replica: a disk invited by a leader that was replaced meanwhile finds its place (seed 20268276)", "[replica]")
