http: a message whose body cannot be delimited is refused

Cause: the parser takes a message with a transfer coding that it does not know for one without a body, and the connection was kept.

Fix: readMessage, through which every HTTP message is read, accepts a single chunked only. Requests get 400 and a closed connection; responses count as broken, and are no longer passed on as whole when the upstream closes.

Tests, seen red: "relay: a request with an unknown transfer coding is refused, and its body runs nothing" and "http_server: a request with an unknown transfer coding is refused, and its body is no request". "relay: a response with an unknown transfer coding is not passed on" came with them.

--- a/include/http/message_reader.h
+++ b/include/http/message_reader.h
@@ -11,6 +11,7 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/fields.hpp>
 
 namespace hornbeampick
 {
@@ -22,12 +23,17 @@
     whole,
 };
 
+/// Returns true when the end of the body of a message is known from its fields. The parser takes a message with a transfer coding that it does not
+/// know for one without a body, or with one that lasts until the end of the connection.
+[[nodiscard]] bool hasKnownFraming(const boost::beast::http::fields &fields);
+
 /// Reads a message, or the rest of it, into `parser`. `buffer` needs a maximum size, which a header, a chunk header with its
 /// extensions and the trailer fields must fit into.
 ///
 /// The timer of `stream` ends a read that waits, but not reads that always find bytes; `deadline` ends both. The caller sets the timer.
 /// Errors: those of the connection and of the parser; `beast::error::timeout` at the deadline; `http::error::buffer_overflow` when the
-/// buffer is full; `http::error::end_of_stream` when the peer closes before the first byte.
+/// buffer is full; `http::error::bad_transfer_encoding` when the body cannot be delimited; `http::error::end_of_stream` when the peer closes before
+/// the first byte.
 template <typename Parser>
 boost::asio::awaitable<boost::system::error_code> readMessage(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, Parser &parser,
                                                               message_part part, steady_time deadline)
@@ -46,6 +52,9 @@
             if (headerBytes + buffer.size() > buffer.max_size() && !parser.is_header_done()) {
                 co_return http::error::header_limit;
             }
+            if (parser.is_header_done() && !hasKnownFraming(parser.get())) {
+                co_return http::error::bad_transfer_encoding;
+            }
             if (!error) {
                 continue;
             }
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -74,6 +74,35 @@
     REQUIRE(handler.handled == 1);
 }
 
+// The body of a request with a transfer coding that the parser does not know was taken for the next request on the connection.
+TEST_CASE("http_server: a request with an unknown transfer coding is refused, and its body is no request", "[http][framing]")
+{
+    handler_mock handler;
+    asio::io_context context;
+    auto server = makeHttpServer({.address = "127.0.0.1"}, context, handler);
+    REQUIRE(server);
+    std::thread thread([&] { context.run(); });
+    const auto coding = GENERATE(as<std::string> {}, "identity", "chunked, identity", "xchunked");
+    CAPTURE(coding);
+    asio::io_context callerContext;
+    asio::ip::tcp::socket socket(callerContext);
+    socket.connect({asio::ip::address_v4::loopback(), server.value()->port()});
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: " + coding + "\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n"), error);
+    boost::beast::flat_buffer buffer;
+    http::response<http::string_body> answer;
+    http::read(socket, buffer, answer, error);
+    http::response<http::string_body> second;
+    boost::system::error_code ended;
+    http::read(socket, buffer, second, ended);
+    context.stop();
+    thread.join();
+    CHECK_FALSE(error);
+    CHECK(answer.result_int() == 400);
+    CHECK(ended);
+    CHECK(handler.handled == 0);
+}
+
 // A body that never gets past a chunk header or the trailer fields was kept in memory until the time for a request was over.
 TEST_CASE("http_server: a chunk header or trailer beyond the header limit is refused at once", "[http][endless]")
 {
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -664,6 +664,35 @@
     REQUIRE(next.exchange("GET", "/once/1").result_int() == 200);
 }
 
+// The body of a request with a transfer coding that the parser does not know was taken for the next request on the connection, and run.
+TEST_CASE("relay: a request with an unknown transfer coding is refused, and its body runs nothing", "[relay][framing]")
+{
+    scripted_upstream upstream(echo);
+    relay_fixture fixture({&upstream});
+    const auto coding
+        = GENERATE(as<std::string> {}, "identity", "xchunked", "chunked, identity", "gzip", "gzip, chunked", "", "chunked\r\nTransfer-Encoding: chunked");
+    CAPTURE(coding);
+    caller client(fixture);
+    const std::string inside = "POST /once/inside HTTP/1.1\r\nHost: x\r\nRequest-Id: inside\r\nContent-Length: 0\r\n\r\n";
+    client.send("POST /once/outside HTTP/1.1\r\nHost: x\r\nRequest-Id: outside\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + inside);
+    REQUIRE(client.read().result_int() == 400);
+    REQUIRE(client.read().result_int() == 0);
+    REQUIRE(upstream.requests() == 0);
+}
+
+// A response whose body cannot be delimited was passed on as a whole one when the upstream closed the connection.
+TEST_CASE("relay: a response with an unknown transfer coding is not passed on", "[relay][framing]")
+{
+    scripted_upstream upstream([](const received_request &request, scripted_upstream::socket &to) {
+        scripted_upstream::write(
+            to, "HTTP/1.1 200 OK\r\nRequest-Id: " + request.field("Request-Id") + "\r\nServer-Stamp: mark\r\nTransfer-Encoding: gzip\r\n\r\ncoded");
+        return false;
+    });
+    relay_fixture fixture({&upstream});
+    caller client(fixture);
+    REQUIRE(client.exchange("GET", "/once/1").result_int() == 502);
+}
+
 // A caller's body that never gets past a chunk header or the trailer fields was kept in memory until the deadline.
 TEST_CASE("relay: a chunk header or trailer beyond the header limit gets a 4xx at once", "[relay][endless]")
 {
