tests: upstreams that send bytes without end cost an entry host little memory

Reported by operators of similar systems: a faulty instance sent bytes that were no answer, without end; the machine that called it kept them all, and other clients' requests ended with it.

--- a/tests/fakes/memory_use.cpp
+++ b/tests/fakes/memory_use.cpp
@@ -8,14 +8,10 @@
 namespace hornbeampick::testing
 {
 
-namespace
-{
-
-// Returns a field of the process status that the system gives in kilobytes, in bytes.
-std::size_t statusBytes(const std::string &field)
+std::size_t processStatusBytes(const std::string &process, const std::string &field)
 {
     constexpr std::size_t bytesPerKilobyte = 1024;
-    std::ifstream status("/proc/self/status");
+    std::ifstream status("/proc/" + process + "/status");
     std::string name;
     std::size_t kilobytes = 0;
     while (status >> name) {
@@ -27,19 +23,17 @@
     return kilobytes * bytesPerKilobyte;
 }
 
-} // namespace
-
 memory_use::memory_use()
 {
     ::malloc_trim(0);
     // Resets the peak resident memory to the present one.
     std::ofstream("/proc/self/clear_refs") << "5";
-    m_bytesBefore = statusBytes("VmRSS:");
+    m_bytesBefore = processStatusBytes("self", "VmRSS:");
 }
 
 std::size_t memory_use::peakGrowthBytes() const
 {
-    const auto peak = statusBytes("VmHWM:");
+    const auto peak = processStatusBytes("self", "VmHWM:");
     return peak - std::min(peak, m_bytesBefore);
 }
 
--- a/tests/fakes/memory_use.h
+++ b/tests/fakes/memory_use.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include <cstddef>
+#include <string>
 
 namespace hornbeampick::testing
 {
 
+/// Returns a field of the status of a process, which the system gives in kilobytes, in bytes. `process` is its id or "self".
+[[nodiscard]] std::size_t processStatusBytes(const std::string &process, const std::string &field);
+
 /// Measures how much the resident memory of this process grows. Only one at a time.
 class memory_use
 {
--- a/tests/fakes/node_fleet.cpp
+++ b/tests/fakes/node_fleet.cpp
@@ -1,5 +1,7 @@
 #include "fakes/node_fleet.h"
 
+#include "fakes/memory_use.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -361,6 +363,11 @@
     }
 }
 
+std::size_t node_fleet::peakMemory(const std::string &name) const
+{
+    return processStatusBytes(std::to_string(m_hosts.at(name)->child.id()), "VmHWM:");
+}
+
 bool node_fleet::isRunning(const std::string &name)
 {
     std::error_code ignored;
--- a/tests/fakes/node_fleet.h
+++ b/tests/fakes/node_fleet.h
@@ -70,6 +70,8 @@
     /// Sends a signal; does nothing if the process has exited.
     void signal(const std::string &name, int number);
     [[nodiscard]] bool isRunning(const std::string &name);
+    /// Returns the peak of the resident memory of the host's process, in bytes.
+    [[nodiscard]] std::size_t peakMemory(const std::string &name) const;
     /// Waits for the process to exit and returns its exit code; -1 on timeout.
     int awaitExit(const std::string &name);
     void removeData(const std::string &name);
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -709,6 +709,57 @@
 }
 
 // A deregistration that waited for entry hosts when its control host was stopped got no answer at all.
+// A faulty upstream sends bytes without end, in a head or in a body. A host that keeps them all runs out of memory, and the requests of other
+// callers end with it.
+TEST_CASE("nodes: upstreams that send bytes without end cost an entry host little memory, and other callers nothing", "[integration][nodes][endless]")
+{
+    constexpr std::size_t allowedGrowth = 48 * 1024 * 1024;
+    constexpr std::size_t callers = 30;
+    const std::string head = "HTTP/1.1 200 OK\r\nServer-Stamp: mark\r\nRequest-Id: ";
+    // What follows the request's id, and what is repeated.
+    const auto [form, piece] = GENERATE_COPY(table<std::string, std::string>({
+        {"\r\nX-Field: ", std::string(60000, 'x')},
+        {"\r\nX-Field: v", "\r\nX-Field: v"},
+        {"\r\n\r\n", std::string(60000, 'x')},
+        {"\r\nTransfer-Encoding: chunked\r\n\r\n5;a=", std::string(60000, 'x')},
+        {"\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+        {"\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: ", std::string(60000, 'x')},
+        {"\r\nContent-Length: 99999999999\r\n\r\n", std::string(60000, 'x')},
+    }));
+    CAPTURE(form.substr(2));
+    scripted_upstream endless([&](const received_request &request, scripted_upstream::socket &to) {
+        scripted_upstream::writeEndlessly(to, head + request.field("Request-Id") + form, piece);
+        return false;
+    });
+    node_fixture fixture;
+    INFO(fixture.fleet.logs());
+    fixture.upstreams.add("e", endless.address(), "north-a");
+    REQUIRE(awaitCondition([&] {
+        (void)fixture.send(0, "/retry/probe");
+        return endless.requests() > 0;
+    }));
+    const auto before = fixture.fleet.peakMemory("entry-0");
+    std::vector<std::thread> all;
+    std::atomic<std::size_t> answered {0};
+    for (std::size_t i = 0; i < callers; ++i) {
+        all.emplace_back([&, i] {
+            for (int turn = 0; turn < 5; ++turn) {
+                answered += fixture.send(0, "/retry/" + std::to_string(100 * i + turn)).status == 200 ? 1 : 0;
+            }
+        });
+    }
+    for (auto &each : all) {
+        each.join();
+    }
+    const auto grown = fixture.fleet.peakMemory("entry-0") - before;
+    INFO("requests to the endless upstream: " << endless.requests() << ", answered: " << answered << ", peak growth in bytes: " << grown);
+    CHECK(grown < allowedGrowth);
+    CHECK(fixture.fleet.isRunning("entry-0"));
+    CHECK(answered > 0);
+    fixture.upstreams.remove("e");
+    CHECK(awaitCondition([&] { return fixture.serves(0) && fixture.serves(1); }));
+}
+
 // A control host that had just started took the entry hosts that it had heard of for all there are, and confirmed a departure that an entry host
 // on the other side of a cut never learned.
 TEST_CASE("nodes: a control host that starts without a leader confirms no departure", "[integration][nodes]")
