--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -89,6 +89,18 @@
     REQUIRE(parseRouting(configurationOf(bad)).error() == errc::routingInvalid);
 }
 
+// The service of a route with weighted services was not read, so that a configuration which names an unknown one came into force.
+TEST_CASE("platform: a route that names an unknown service beside weighted ones is refused", "[platform]")
+{
+    const auto rowWith = [](const std::string &service) {
+        return R"(["r2","y.example","/q/","idempotent",1200,300,2,")" + service + R"(",2,false,[],[{"service":"a","weight":90},{"service":"b","weight":10}]])";
+    };
+    REQUIRE(parseRouting(configurationOf(rowWith("nobody"))).error() == errc::routingInvalid);
+    const auto known = parseRouting(configurationOf(rowWith("a")));
+    REQUIRE(known);
+    REQUIRE(known.value().routes[0].services == std::vector<service_weight> {{service_name("a"), 90}, {service_name("b"), 10}});
+}
+
 // A value that the codec did not know made every configuration invalid, and nothing was served.
 TEST_CASE("platform: every kind of route that the platform names is accepted, and decides whether requests may be repeated", "[platform][download]")
 {
