--- a/src/node/control_watch.cpp
+++ b/src/node/control_watch.cpp
@@ -42,8 +42,8 @@
     : m_parts(parts)
     , m_options(options)
     , m_context(context)
-    , m_self(options.self)
     , m_fetchTimer(context)
+    , m_self(options.self)
 {
 }
 
