replica: a contact counts from when the question was sent

Cause: the time at which a message is read counted as the time of contact, at followers (m_confirmedAt) and at leaders (lastReply).

Evidence: with all links cut before it wakes up, a follower and a leader have a confirmedAt later than their suspension on the former code.

Fix: appends and replies tell when they were sent and echo the newest such time of the other side. A contact is as old as the question that it answers; times from before the start of the process do not count. Former builds tell no times and are treated as before.

--- a/include/replica/replica_core.h
+++ b/include/replica/replica_core.h
@@ -47,7 +47,10 @@
     log_index next = 1;
     // Highest index known to be replicated on the peer.
     log_index match = 0;
+    // When the newest message was sent that the peer has replied to.
     steady_time lastReply {};
+    // The newest time that the peer has told, by its own clock.
+    steady_time peerSentAt {};
     // No further snapshot is sent before this time.
     steady_time snapshotUntil {};
     // The last of the entries in flight, which are not sent again, nor others, before `retryAt` unless they are acknowledged or rejected.
@@ -170,7 +173,10 @@
     void sendSnapshot(const replica_id &peer, replica_progress &progress, steady_time now);
     void broadcastAppend(steady_time now);
     void requestVotes(replica_message_kind kind, log_term term, bool leadershipTransfer);
-    void reply(const replica_message &request, replica_message answer);
+    void reply(const replica_message &request, replica_message answer, steady_time now = {});
+    // Returns a time at which the sender of `message` is known to have been in contact: when this replica sent what the message answers. A message
+    // that waited in a socket may be old when it is received. Empty when the message tells no time of this process.
+    [[nodiscard]] std::optional<steady_time> contactTime(const replica_message &message, steady_time now) const;
     void advanceCommit(steady_time now);
     void commitTo(log_index index);
     [[nodiscard]] bool hasQuorum(steady_time now) const;
@@ -188,6 +194,7 @@
     disk_id m_leader = 0;
     steady_time m_lastLeaderContact {};
     steady_time m_confirmedAt {};
+    steady_time m_startedAt {};
     steady_time m_electionDeadline {};
     steady_time m_heartbeatDeadline {};
     // Elections of this replica that ended without a leader since it last knew one.
--- a/include/replica/replica_types.h
+++ b/include/replica/replica_types.h
@@ -200,6 +200,10 @@
     bool granted = false;
     std::vector<log_entry> entries;
     std::optional<replica_snapshot> snapshot;
+    // Appends, snapshots and their replies: when the message was sent, by the sender's clock, and the newest `sentAt` that the sender has received
+    // from the other side, which is a time of the receiver's clock. The epoch of the clock from releases that do not tell.
+    steady_time sentAt {};
+    steady_time echo {};
 };
 
 enum class replica_role {
--- a/src/codec/replica_codec.cpp
+++ b/src/codec/replica_codec.cpp
@@ -391,6 +391,21 @@
     return {.index = value.index(), .term = value.term(), .config = decode(value.config()), .state = decode(value.state())};
 }
 
+namespace
+{
+
+std::int64_t encodeTime(steady_time time)
+{
+    return std::chrono::duration_cast<microseconds>(time.time_since_epoch()).count();
+}
+
+steady_time decodeTime(std::int64_t value)
+{
+    return steady_time(microseconds(value));
+}
+
+} // namespace
+
 schema::replica_message encode(const replica_message &value)
 {
     schema::replica_message message;
@@ -406,6 +421,8 @@
     if (value.snapshot) {
         *message.mutable_snapshot() = encode(*value.snapshot);
     }
+    message.set_sent_at_us(encodeTime(value.sentAt));
+    message.set_echo_us(encodeTime(value.echo));
     return message;
 }
 
@@ -422,6 +439,8 @@
         .granted = value.granted(),
         .entries = decodeAll<log_entry>(value.entries()),
         .snapshot = std::nullopt,
+        .sentAt = decodeTime(value.sent_at_us()),
+        .echo = decodeTime(value.echo_us()),
     };
     if (value.has_snapshot()) {
         message.snapshot = decode(value.snapshot());
--- a/src/replica/replica_core.cpp
+++ b/src/replica/replica_core.cpp
@@ -30,6 +30,7 @@
     , m_entries(std::move(image.entries))
     , m_commitIndex(m_snapshot.index)
     , m_persistedIndex(lastIndex())
+    , m_startedAt(now)
 {
     restoreConfig();
     commitTo(std::min(image.commit, lastIndex()));
@@ -264,12 +265,12 @@
 
     if (message.lastIndex > lastIndex()) {
         answer.lastIndex = lastIndex();
-        reply(message, std::move(answer));
+        reply(message, std::move(answer), now);
         return;
     }
     if (message.lastIndex >= m_snapshot.index && termAt(message.lastIndex) != message.lastTerm) {
         answer.lastIndex = message.lastIndex - 1;
-        reply(message, std::move(answer));
+        reply(message, std::move(answer), now);
         return;
     }
     acceptEntries(message.entries);
@@ -279,9 +280,9 @@
     commitTo(std::min(message.commitIndex, answer.lastIndex));
     // Until a new leader has committed an entry of its term, its commit index may lack entries that were acknowledged before.
     if (message.commitIndex <= m_commitIndex && termAt(m_commitIndex) == message.term) {
-        m_confirmedAt = now;
+        m_confirmedAt = std::max(m_confirmedAt, contactTime(message, now).value_or(m_confirmedAt));
     }
-    reply(message, std::move(answer));
+    reply(message, std::move(answer), now);
 }
 
 void replica_core::onAppendReply(const replica_message &message, steady_time now)
@@ -295,7 +296,8 @@
         return;
     }
     auto &progress = found->second;
-    progress.lastReply = now;
+    progress.lastReply = std::max(progress.lastReply, contactTime(message, now).value_or(progress.lastReply));
+    progress.peerSentAt = std::max(progress.peerSentAt, message.sentAt);
     if (!message.granted) {
         progress.retryAt = {};
         // A peer may have lost entries that it had acknowledged, so its match index can move back. A delayed rejection costs only a retransmission.
@@ -339,7 +341,7 @@
         m_persistedIndex = m_snapshot.index;
         restoreConfig();
     }
-    reply(message, {.kind = replica_message_kind::appendReply, .term = m_hardState.term, .lastIndex = m_commitIndex, .granted = true});
+    reply(message, {.kind = replica_message_kind::appendReply, .term = m_hardState.term, .lastIndex = m_commitIndex, .granted = true}, now);
 }
 
 void replica_core::acceptEntries(std::span<const log_entry> entries)
@@ -408,6 +410,8 @@
     message.lastIndex = progress.next - 1;
     message.lastTerm = termAt(message.lastIndex);
     message.commitIndex = m_commitIndex;
+    message.sentAt = now;
+    message.echo = progress.peerSentAt;
     if (now >= progress.retryAt) {
         attachEntries(message, progress, now);
     }
@@ -441,6 +445,8 @@
     progress.snapshotUntil = now + snapshotRetryInterval;
     replica_message message {.kind = replica_message_kind::snapshotRequest, .from = m_options.self, .to = peer, .term = m_hardState.term};
     message.snapshot = m_snapshot;
+    message.sentAt = now;
+    message.echo = progress.peerSentAt;
     m_output.messages.push_back(std::move(message));
 }
 
@@ -452,8 +458,21 @@
     }
 }
 
-void replica_core::reply(const replica_message &request, replica_message answer)
+std::optional<steady_time> replica_core::contactTime(const replica_message &message, steady_time now) const
+{
+    if (message.sentAt == steady_time {}) {
+        // A former release tells no times.
+        return now;
+    }
+    // Times from before a restart may belong to another run of the clock.
+    const bool isOfThisProcess = message.echo >= m_startedAt && message.echo <= now;
+    return isOfThisProcess ? std::optional(message.echo) : std::nullopt;
+}
+
+void replica_core::reply(const replica_message &request, replica_message answer, steady_time now)
 {
+    answer.sentAt = now;
+    answer.echo = request.sentAt;
     answer.from = m_options.self;
     answer.to = request.from;
     m_output.messages.push_back(std::move(answer));
--- a/tests/replica/replica_engine_test.cpp
+++ b/tests/replica/replica_engine_test.cpp
@@ -787,6 +787,49 @@
     REQUIRE(ageOf(former) < milliseconds(300));
 }
 
+// A host that was suspended took messages that had waited in its socket for new ones, and confirmed a state that had been overtaken meanwhile.
+TEST_CASE("replica: a host that was suspended confirms nothing later than its last contact", "[replica][home]")
+{
+    replica_cluster cluster(3, firstSeed);
+    cluster.run(milliseconds(1000));
+    const auto leader = *cluster.leader();
+    const auto suspended = (leader + 1) % cluster.size();
+    REQUIRE(cluster.engine(suspended)->view().confirmedAt > cluster.clock().now() - milliseconds(200));
+    cluster.freeze(suspended, true);
+    const auto suspendedAt = cluster.clock().now();
+    cluster.run(milliseconds(50));
+    for (std::size_t host = 0; host < cluster.size(); ++host) {
+        cluster.cut(host, suspended, true);
+    }
+    cluster.run(milliseconds(400));
+    cluster.freeze(suspended, false);
+    cluster.run(milliseconds(100));
+    CHECK(cluster.engine(suspended)->view().confirmedAt <= suspendedAt);
+    // In contact again, it confirms again.
+    cluster.healAll();
+    cluster.run(milliseconds(1000));
+    CHECK(cluster.engine(suspended)->view().confirmedAt > cluster.clock().now() - milliseconds(200));
+}
+
+// The same at a leader: replies that had waited in its socket counted as a majority's contact.
+TEST_CASE("replica: a leader that was suspended does not count replies that waited", "[replica][home]")
+{
+    replica_cluster cluster(3, firstSeed);
+    cluster.run(milliseconds(1000));
+    const auto leader = *cluster.leader();
+    cluster.run(milliseconds(10));
+    cluster.freeze(leader, true);
+    const auto suspendedAt = cluster.clock().now();
+    cluster.run(milliseconds(50));
+    for (std::size_t host = 0; host < cluster.size(); ++host) {
+        cluster.cut(host, leader, true);
+    }
+    cluster.run(milliseconds(400));
+    cluster.freeze(leader, false);
+    cluster.run(milliseconds(20));
+    CHECK(cluster.engine(leader)->view().confirmedAt <= suspendedAt);
+}
+
 TEST_CASE("replica: a host at another address takes the place of a voter that is gone for good", "[replica]")
 {
     replica_cluster cluster(4, firstSeed, {.bootstrapHosts = 3});
