--- a/include/replica/replica_core.h
+++ b/include/replica/replica_core.h
@@ -21,9 +21,9 @@
     milliseconds heartbeat {100};
     // Bounds of an append request. One entry is sent whatever its size.
     std::size_t maxEntriesPerMessage = 256;
-    std::size_t maxBytesPerMessage = 1024 * 1024;
+    std::size_t maxBytesPerMessage = std::size_t {1024} * 1024;
     // No entry is proposed while uncommitted ones take this much memory, in bytes.
-    std::size_t maxUncommittedBytes = 8 * 1024 * 1024;
+    std::size_t maxUncommittedBytes = std::size_t {8} * 1024 * 1024;
 };
 
 /// Effects that the caller carries out in this order: persist and fsync, then send, then apply.
--- a/include/replica/replica_engine.h
+++ b/include/replica/replica_engine.h
@@ -68,7 +68,7 @@
     // The log is compacted once it holds this many applied entries.
     std::size_t snapshotEntries = 1024;
     // The log is compacted too once its entries take this much memory or disk, in bytes.
-    std::size_t maxLogBytes = 16 * 1024 * 1024;
+    std::size_t maxLogBytes = std::size_t {16} * 1024 * 1024;
 };
 
 /// One replica without its thread. Connects core, ledger, store and formation, and carries out the core's output in the order
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -33,7 +33,7 @@
 constexpr milliseconds maintenanceInterval {50};
 // Upstreams time out their calls after 1 s, so that the response must be sent earlier.
 constexpr milliseconds confirmTimeout {700};
-constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
+constexpr std::size_t bytesPerMegabyte = std::size_t {1024} * 1024;
 // The entries of the log take at most this part of the memory of the process.
 constexpr std::size_t logMemoryDivisor = 16;
 // Number of heartbeat intervals without a report after which an upstream counts as silent.
--- a/src/storage/record_frame.cpp
+++ b/src/storage/record_frame.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint32_t frameFormat = 2;
 // A last frame that ends in this many zero bytes counts as not completely written.
 constexpr std::size_t tornTailZeros = 8;
-constexpr std::size_t readChunkBytes = 64 * 1024;
+constexpr std::size_t readChunkBytes = std::size_t {64} * 1024;
 
 // Layout on disk, little endian.
 struct frame_header {
