replica: a host whose clock began anew confirms its state again

Callers would have seen restricted requests refused (routes-outdated) by the entry hosts that a restarted machine confirms, for as long as it had run before.

Cause: the leader kept the largest time that a peer had told. The monotonic clock begins anew with the machine, so that the echo lay in the peer's future, and counted for nothing.

Evidence: the test, in which a follower's clock is set back while it is down: red with the largest time, green with the last one.

Fix: the leader echoes the time that the peer told last. A reply that comes late lowers it, which only makes a confirmation older.

--- a/include/replica/replica_core.h
+++ b/include/replica/replica_core.h
@@ -49,7 +49,7 @@
     log_index match = 0;
     // When the newest message was sent that the peer has replied to.
     steady_time lastReply {};
-    // The newest time that the peer has told, by its own clock.
+    // The time that the peer told last, by its own clock, which begins anew when its machine does.
     steady_time peerSentAt {};
     // No further snapshot is sent before this time.
     steady_time snapshotUntil {};
--- a/src/replica/replica_core.cpp
+++ b/src/replica/replica_core.cpp
@@ -297,7 +297,7 @@
     }
     auto &progress = found->second;
     progress.lastReply = std::max(progress.lastReply, contactTime(message, now).value_or(progress.lastReply));
-    progress.peerSentAt = std::max(progress.peerSentAt, message.sentAt);
+    progress.peerSentAt = message.sentAt;
     if (!message.granted) {
         progress.retryAt = {};
         // A peer may have lost entries that it had acknowledged, so its match index can move back. A delayed rejection costs only a retransmission.
--- a/tests/fakes/replica_cluster.cpp
+++ b/tests/fakes/replica_cluster.cpp
@@ -229,6 +229,16 @@
     m_delay = delay;
 }
 
+void replica_cluster::restartClock(std::size_t host)
+{
+    m_nodes[host]->clock.advance(std::chrono::duration_cast<microseconds>(manual_clock().now() - m_nodes[host]->clock.now()));
+}
+
+steady_time::duration replica_cluster::confirmedAge(std::size_t host) const
+{
+    return m_nodes[host]->clock.now() - m_nodes[host]->engine->view().confirmedAt;
+}
+
 void replica_cluster::slowDisk(std::size_t host, milliseconds time)
 {
     m_nodes[host]->diskTime = time;
--- a/tests/fakes/replica_cluster.h
+++ b/tests/fakes/replica_cluster.h
@@ -51,6 +51,11 @@
     /// Suspends a host: it neither ticks nor receives, and messages to it are queued.
     void freeze(std::size_t host, bool frozen);
 
+    /// Sets the clock of a host that is down back to its first time, as a machine that starts again does.
+    void restartClock(std::size_t host);
+    /// Returns for how long the state of a host has not been known to be the newest, by its own clock.
+    [[nodiscard]] steady_time::duration confirmedAge(std::size_t host) const;
+
     /// Lets each write of a host, and all that follows it there, take `time`.
     void slowDisk(std::size_t host, milliseconds time);
 
--- a/tests/replica/replica_engine_test.cpp
+++ b/tests/replica/replica_engine_test.cpp
@@ -811,6 +811,20 @@
     CHECK(cluster.engine(suspended)->view().confirmedAt > cluster.clock().now() - milliseconds(200));
 }
 
+// The leader kept the largest time that a host had told; one whose machine had started again, and its clock with it, confirmed nothing for as long
+// as it had run before.
+TEST_CASE("replica: a host whose clock began anew confirms its state again", "[replica][home]")
+{
+    replica_cluster cluster(3, firstSeed);
+    cluster.run(milliseconds(4000));
+    const auto host = (*cluster.leader() + 1) % cluster.size();
+    cluster.crash(host);
+    cluster.restartClock(host);
+    cluster.start(host);
+    cluster.run(milliseconds(1000));
+    CHECK(cluster.confirmedAge(host) < milliseconds(200));
+}
+
 // The same at a leader: replies that had waited in its socket counted as a majority's contact.
 TEST_CASE("replica: a leader that was suspended does not count replies that waited", "[replica][home]")
 {
