Review: the stand-ins use the descriptors that the machine allows

Case 8 needs 2,060 connections, and says that it could not run where fewer than 4,096 descriptors are allowed.

--- a/review/stand-ins-2/cases.cpp
+++ b/review/stand-ins-2/cases.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <memory>
 #include <set>
+#include <sys/resource.h>
 
 namespace review
 {
@@ -58,6 +59,11 @@
     constexpr int contactMs = 3000;
     constexpr int crowdSize = 2060;
     constexpr int clients = 10;
+    rlimit descriptors {};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    if (descriptors.rlim_cur < 4096) {
+        cannotRun("fewer than 4,096 descriptors");
+    }
     fleet machines(std::getenv("ROOT"), sixZones, {.contactMs = contactMs});
     for (const auto &each : sixZones) {
         machines.add(each.name, true);
@@ -405,6 +411,10 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    rlimit descriptors {};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    descriptors.rlim_cur = descriptors.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &descriptors);
     const std::map<std::string, int (*)()> cases {
         {"crowd", review::crowd}, {"deregistration", review::deregistration}, {"region", review::region}, {"gone", review::gone}};
     const auto found = argc > 1 ? cases.find(argv[1]) : cases.end();
--- a/review/stand-ins-2/fleet.cpp
+++ b/review/stand-ins-2/fleet.cpp
@@ -382,7 +382,9 @@
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(output, 1);
         ::dup2(output, 2);
-        const rlimit descriptors {.rlim_cur = maxDescriptors, .rlim_max = maxDescriptors};
+        rlimit descriptors {};
+        ::getrlimit(RLIMIT_NOFILE, &descriptors);
+        descriptors.rlim_cur = descriptors.rlim_max = std::min(maxDescriptors, descriptors.rlim_max);
         ::setrlimit(RLIMIT_NOFILE, &descriptors);
         ::execl(program.c_str(), program.c_str(), "--node", settings.c_str(), nullptr);
         ::_exit(127);
