--- a/review/stand-ins-2/cases.cpp
+++ b/review/stand-ins-2/cases.cpp
@@ -254,7 +254,8 @@
     constexpr double ackTimeout = 6.0;
     constexpr double seedLag = 3.0;
     constexpr double catchUp = 6.0;
-    constexpr double outage = 13.0;
+    // The least on which the rule can be judged: the core is stable after contact_ms, and the order has ack_timeout_ms from then on.
+    constexpr double outage = contact + ackTimeout + 0.5;
     const std::vector<zone> zones {{"antw-noord", "antwerpen"}, {"gent-haven", "gent"}, {"luik-oost", "luik"}, {"antw-zuid", "antwerpen"}, {"gent-kanaal", "gent"},
                                    {"luik-west", "luik"},       {"antw-kaai", "antwerpen"}, {"gent-dok", "gent"}, {"luik-maas", "luik"}};
     const std::vector<std::string> regions {"antw", "gent", "luik"};
@@ -298,7 +299,7 @@
         sleepUntil(lostAt + contact + 0.2);
         const double sentAt = now();
         const auto content = configuration(++version, routes, {"payout"});
-        const int status = operatorCalls.order("POST", "/-/Config.Put", content, 2 * ackTimeout);
+        const int status = operatorCalls.order("POST", "/-/Config.Put", content, ackTimeout);
         const double tookFor = now() - sentAt;
         int running = 0;
         for (auto *each : machines.cores()) {
@@ -310,11 +311,7 @@
         if (running != (hasTrouble() ? 12 : 18)) {
             cannotRun("another control host ended");
         }
-        const bool isBroken = status != 200 || tookFor > ackTimeout;
-        if (isBroken) {
-            record("evacuation: " + std::to_string(operatorCalls.order("POST", "/-/Evacuate.Start/x-zone", "", 3)));
-            record("read of the configuration: " + std::to_string(operatorCalls.order("GET", "/-/Config.Get", "", 3)));
-        }
+        const bool isBroken = status != 200;
         sleepUntil(lostAt + outage);
         if (hasTrouble()) {
             for (auto *each : machines.cores()) {
