--- a/review/stand-ins-2/cases.cpp
+++ b/review/stand-ins-2/cases.cpp
@@ -14,7 +14,8 @@
 namespace
 {
 
-const std::vector<zone> sixZones {{"hob-a", "hobart"}, {"lst-a", "launceston"}, {"bur-a", "burnie"}, {"hob-b", "hobart"}, {"lst-b", "launceston"}, {"bur-b", "burnie"}};
+const std::vector<zone> sixZones {{"hob-a", "hobart"}, {"lst-a", "launceston"}, {"bur-a", "burnie"},
+                                  {"hob-b", "hobart"}, {"lst-b", "launceston"}, {"bur-b", "burnie"}};
 
 bool isReady(fleet &machines, const machine &which)
 {
@@ -95,8 +96,8 @@
         for (auto &link : kept) {
             answered += link->readResponse(std::max(0.01, begin + 3 - now())).status > 0 ? 1 : 0;
         }
-        record("crowd: " + std::to_string(kept.size()) + " connections, " + std::to_string(answered) + " answers, after "
-               + std::to_string(now() - begin) + " s");
+        record("crowd: " + std::to_string(kept.size()) + " connections, " + std::to_string(answered) + " answers, after " + std::to_string(now() - begin)
+               + " s");
     }
     // For contact_ms, ordinary clients try: each with a request on a new connection, and again when it has no answer after a second.
     const double begin = now();
@@ -256,8 +257,9 @@
     constexpr double catchUp = 6.0;
     // The least on which the rule can be judged: the core is stable after contact_ms, and the order has ack_timeout_ms from then on.
     constexpr double outage = contact + ackTimeout + 0.5;
-    const std::vector<zone> zones {{"antw-noord", "antwerpen"}, {"gent-haven", "gent"}, {"luik-oost", "luik"}, {"antw-zuid", "antwerpen"}, {"gent-kanaal", "gent"},
-                                   {"luik-west", "luik"},       {"antw-kaai", "antwerpen"}, {"gent-dok", "gent"}, {"luik-maas", "luik"}};
+    const std::vector<zone> zones {{"antw-noord", "antwerpen"}, {"gent-haven", "gent"},  {"luik-oost", "luik"},
+                                   {"antw-zuid", "antwerpen"},  {"gent-kanaal", "gent"}, {"luik-west", "luik"},
+                                   {"antw-kaai", "antwerpen"},  {"gent-dok", "gent"},    {"luik-maas", "luik"}};
     const std::vector<std::string> regions {"antw", "gent", "luik"};
     fleet machines(std::getenv("ROOT"), zones, {.contactMs = 5000, .graceS = 10, .configApplyMs = 3000, .budgetSlack = 404});
     for (const auto &each : zones) {
@@ -394,7 +396,8 @@
             atWork += run.ended > found->second + 0.5 ? 1 : 0;
         }
     }
-    record("requests whose client left and that would have lasted half a second longer: " + std::to_string(owed) + "; still at work then: " + std::to_string(atWork));
+    record("requests whose client left and that would have lasted half a second longer: " + std::to_string(owed)
+           + "; still at work then: " + std::to_string(atWork));
     if (hasTrouble() && owed < 4) {
         cannotRun("too few requests were at work");
     }
--- a/review/stand-ins-2/fleet.cpp
+++ b/review/stand-ins-2/fleet.cpp
@@ -163,8 +163,8 @@
     }
     int error = 0;
     socklen_t size = sizeof error;
-    const bool isOpen = errno == EINPROGRESS && waitFor(m_socket, POLLOUT, now() + timeout) && ::getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0
-        && error == 0;
+    const bool isOpen
+        = errno == EINPROGRESS && waitFor(m_socket, POLLOUT, now() + timeout) && ::getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
     if (!isOpen) {
         close();
     }
@@ -563,8 +563,8 @@
         }
         const auto id = headers["request-id"];
         const auto head = [&](const char *status, const std::string &more, const std::string &content) {
-            return std::string("HTTP/1.1 ") + status + "\r\nRequest-Id: " + id + "\r\n" + more + "Content-Length: " + std::to_string(content.size()) + "\r\n\r\n"
-                + content;
+            return std::string("HTTP/1.1 ") + status + "\r\nRequest-Id: " + id + "\r\n" + more + "Content-Length: " + std::to_string(content.size())
+                + "\r\n\r\n" + content;
         };
         if (line.starts_with("GET /healthz ")) {
             link.send("HTTP/1.1 200 OK\r\nInstance-Id: " + m_id + "\r\nContent-Length: 0\r\n\r\n", 1);
@@ -602,7 +602,8 @@
             record("instance " + m_id + " drops " + id);
             return;
         }
-        link.send(head("200 OK", "Server-Stamp: " + m_id + "." + id + "\r\nInstance-Load: " + std::to_string(m_running) + ",0," + std::to_string(m_slots) + "\r\n",
+        link.send(head("200 OK",
+                       "Server-Stamp: " + m_id + "." + id + "\r\nInstance-Load: " + std::to_string(m_running) + ",0," + std::to_string(m_slots) + "\r\n",
                        "done by " + m_id),
                   1);
     }
--- a/review/stand-ins-2/fleet.h
+++ b/review/stand-ins-2/fleet.h
@@ -106,10 +106,22 @@
     bool isRunning(machine &which);
     std::vector<machine *> cores();
 
-    int front() const { return m_front; }
-    int readiness() const { return m_readiness; }
-    int control() const { return m_control; }
-    int serverPort() const { return m_server; }
+    int front() const
+    {
+        return m_front;
+    }
+    int readiness() const
+    {
+        return m_readiness;
+    }
+    int control() const
+    {
+        return m_control;
+    }
+    int serverPort() const
+    {
+        return m_server;
+    }
     /// An address in the zone that no machine has.
     std::string serverIp(const std::string &zoneName);
 
@@ -168,7 +180,10 @@
     void stopHeartbeats();
     bool heartbeat(machine &daemon);
     bool deregister(machine &daemon);
-    std::string id() const { return m_id; }
+    std::string id() const
+    {
+        return m_id;
+    }
 
     struct run {
         std::string request;
