--- a/review/stand-ins-2/fleet.cpp
+++ b/review/stand-ins-2/fleet.cpp
@@ -14,6 +14,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -379,6 +380,8 @@
     const auto log = m_folder + "/" + which.name + ".log";
     const pid_t child = ::fork();
     if (child == 0) {
+        // The daemon ends with this program, also when that is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(output, 1);
         ::dup2(output, 2);
