tests: one path of entry hosts for all tests of broken responses

The tests of truncated and of invalid responses each had the entry hosts between a caller and an upstream for themselves. relay_path is the one copy, which the tests of responses to long requests use as well. The tests of invalid status lines are named after invalid responses, since those of invalid header fields join them. No check changes.

--- a/tests/relay/invalid_status_test.cpp
+++ b/tests/relay/invalid_response_test.cpp
@@ -1,7 +1,7 @@
 // Tests what becomes of responses whose status line is not that of a final response, over real sockets: responses of upstreams and of other
 // entry hosts.
 
-#include "fakes/relay_fixture.h"
+#include "fakes/relay_path.h"
 #include "fakes/status_lines.h"
 
 #include <catch2/catch.hpp>
@@ -13,13 +13,6 @@
 namespace
 {
 
-// Which part of the way to an upstream sends the invalid response.
-enum class invalid_sender {
-    upstream,
-    upstreamBehindPeer,
-    peer,
-};
-
 struct sent_request {
     std::string method;
     std::string target;
@@ -27,19 +20,6 @@
     std::string body;
 };
 
-std::string textOf(invalid_sender sender)
-{
-    switch (sender) {
-    case invalid_sender::upstream:
-        return "upstream";
-    case invalid_sender::upstreamBehindPeer:
-        return "upstream behind another entry host";
-    case invalid_sender::peer:
-        return "another entry host";
-    }
-    return {};
-}
-
 // Two upstreams, or entry hosts, of which the one that gets the first request responds to it with the given bytes; all other responses
 // are valid.
 class invalid_pair
@@ -77,43 +57,20 @@
     scripted_upstream m_second {[this](const received_request &request, scripted_upstream::socket &to) { return answer(request, to); }};
 };
 
-// The entry host that the caller uses, with what lies behind it.
-class invalid_path
-{
-public:
-    invalid_path(invalid_sender sender, invalid_pair &servers)
-    {
-        if (sender == invalid_sender::upstream) {
-            entry = std::make_unique<relay_fixture>(servers.both());
-            return;
-        }
-        peer = std::make_unique<relay_fixture>(servers.both());
-        entry = std::make_unique<relay_fixture>();
-        entry->isolate(*peer);
-        if (sender == invalid_sender::peer) {
-            entry->peers.set({{.address = servers.both().front()->address(), .region = region_name("home")},
-                              {.address = servers.both().back()->address(), .region = region_name("home")}});
-        }
-    }
-
-    std::unique_ptr<relay_fixture> peer;
-    std::unique_ptr<relay_fixture> entry;
-};
-
 // Sends a request to which the first response is made by `makeFirst`, and requires that it is not passed on: what may run only once is sent
 // once and answered with 502; what may be repeated is, but for what another entry host may have run.
-void requireNotPassedOn(const sent_request &request, invalid_sender sender, const invalid_pair::maker &makeFirst)
+void requireNotPassedOn(const sent_request &request, response_sender sender, const invalid_pair::maker &makeFirst)
 {
     invalid_pair servers(makeFirst);
-    invalid_path path(sender, servers);
-    caller client(*path.entry);
+    relay_path path(sender, servers.both());
+    caller client(path.entry());
     const auto answer = client.exchange(request.method, request.target, "", request.body);
-    const bool isRepeated = !request.runOnce && sender != invalid_sender::peer;
+    const bool isRepeated = !request.runOnce && sender != response_sender::peer;
     CHECK(servers.requests() == (isRepeated ? 2 : 1));
     CHECK(answer.result_int() == (isRepeated ? 200 : 502));
     CHECK(answer.body() != "inside");
     // Nothing of the invalid response is left for the next request.
-    const auto next = caller(*path.entry).exchange("GET", "/again/next");
+    const auto next = caller(path.entry()).exchange("GET", "/again/next");
     CHECK(next.result_int() == 200);
     CHECK(next.body() == "mine");
 }
@@ -129,7 +86,7 @@
 TEST_CASE("relay: a response whose status line is not that of a final response is never passed on", "[relay][peers][invalid]")
 {
     const auto line = GENERATE(from_range(invalidStatusLines()));
-    const auto sender = GENERATE(invalid_sender::upstream, invalid_sender::upstreamBehindPeer, invalid_sender::peer);
+    const auto sender = GENERATE(response_sender::upstream, response_sender::upstreamBehindPeer, response_sender::peer);
     const auto request = GENERATE(sent_request {"POST", "/once/i", true, "x"}, sent_request {"GET", "/again/i", false, ""});
     CAPTURE(line, textOf(sender), request.method);
     requireNotPassedOn(request, sender, [&](const received_request &received, const std::string &) { return line + fieldsFor(received, "wrong"); });
@@ -139,7 +96,7 @@
 TEST_CASE("relay: the body of a response with an invalid status line is not taken for a response", "[relay][peers][invalid]")
 {
     const auto line = GENERATE(from_range(invalidStatusLines()));
-    const auto sender = GENERATE(invalid_sender::upstream, invalid_sender::upstreamBehindPeer, invalid_sender::peer);
+    const auto sender = GENERATE(response_sender::upstream, response_sender::upstreamBehindPeer, response_sender::peer);
     CAPTURE(line, textOf(sender));
     requireNotPassedOn({"POST", "/once/i", true, "x"}, sender, [&](const received_request &received, const std::string &) {
         return line + fieldsFor(received, scripted_upstream::answer(received, "inside"));
@@ -150,7 +107,7 @@
 TEST_CASE("relay: a refusal with an invalid status line guarantees nothing", "[relay][peers][invalid]")
 {
     const auto line = GENERATE(from_range(invalidStatusLines()));
-    const auto sender = GENERATE(invalid_sender::upstream, invalid_sender::peer);
+    const auto sender = GENERATE(response_sender::upstream, response_sender::peer);
     CAPTURE(line, textOf(sender));
     requireNotPassedOn({"POST", "/once/i", true, "x"}, sender,
                        [&](const received_request &received, const std::string &) { return line + "\r\nNot-Executed: 1" + fieldsFor(received, ""); });
@@ -162,7 +119,7 @@
     constexpr std::size_t longBytes = 3000000;
     const auto line = GENERATE(from_range(invalidStatusLines()));
     CAPTURE(line);
-    requireNotPassedOn({"POST", "/once/i", true, std::string(longBytes, 'x')}, invalid_sender::upstream,
+    requireNotPassedOn({"POST", "/once/i", true, std::string(longBytes, 'x')}, response_sender::upstream,
                        [&](const received_request &received, const std::string &) { return line + fieldsFor(received, "wrong"); });
 }
 
@@ -197,12 +154,12 @@
 TEST_CASE("relay: unusual but valid status lines are passed on", "[relay][peers][invalid]")
 {
     const auto line = GENERATE(from_range(validStatusLines()));
-    const auto sender = GENERATE(invalid_sender::upstream, invalid_sender::upstreamBehindPeer, invalid_sender::peer);
+    const auto sender = GENERATE(response_sender::upstream, response_sender::upstreamBehindPeer, response_sender::peer);
     const auto interim = GENERATE(as<std::string> {}, "", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Processing\r\n\r\n", "HTTP/1.1 199 Odd\r\n\r\n");
     CAPTURE(line.text, textOf(sender), interim);
     invalid_pair servers([&](const received_request &received, const std::string &) { return interim + line.text + fieldsFor(received, "odd"); });
-    invalid_path path(sender, servers);
-    const auto answer = caller(*path.entry).exchange("POST", "/once/v", "", "x");
+    relay_path path(sender, servers.both());
+    const auto answer = caller(path.entry()).exchange("POST", "/once/v", "", "x");
     CHECK(servers.requests() == 1);
     CHECK(answer.result_int() == line.status);
     CHECK(answer.body() == "odd");
--- a/tests/relay/truncated_head_test.cpp
+++ b/tests/relay/truncated_head_test.cpp
@@ -2,7 +2,7 @@
 // entry hosts, and requests of callers.
 
 #include "fakes/cut_heads.h"
-#include "fakes/relay_fixture.h"
+#include "fakes/relay_path.h"
 
 #include <catch2/catch.hpp>
 #include <mutex>
@@ -16,13 +16,6 @@
 namespace
 {
 
-// Which part of the way to an upstream sends the response that is cut.
-enum class cut_sender {
-    upstream,
-    upstreamBehindPeer,
-    peer,
-};
-
 // When the response that is cut comes.
 enum class cut_moment {
     newConnection,
@@ -36,19 +29,6 @@
     bool runOnce = true;
 };
 
-std::string textOf(cut_sender sender)
-{
-    switch (sender) {
-    case cut_sender::upstream:
-        return "upstream";
-    case cut_sender::upstreamBehindPeer:
-        return "upstream behind another entry host";
-    case cut_sender::peer:
-        return "another entry host";
-    }
-    return {};
-}
-
 std::string textOf(cut_moment moment)
 {
     switch (moment) {
@@ -131,47 +111,24 @@
     scripted_upstream m_second {[this](const received_request &request, scripted_upstream::socket &to) { return answer(request, to); }};
 };
 
-// The entry host that the caller uses, with what lies behind it.
-class cut_path
-{
-public:
-    explicit cut_path(cut_sender sender)
-    {
-        if (sender == cut_sender::upstream) {
-            entry = std::make_unique<relay_fixture>(servers.both());
-            return;
-        }
-        peer = std::make_unique<relay_fixture>(servers.both());
-        entry = std::make_unique<relay_fixture>();
-        entry->isolate(*peer);
-        if (sender == cut_sender::peer) {
-            entry->peers.set({{.address = servers.both().front()->address(), .region = region_name("home")},
-                              {.address = servers.both().back()->address(), .region = region_name("home")}});
-        }
-    }
-
-    cutting_pair servers;
-    std::unique_ptr<relay_fixture> peer;
-    std::unique_ptr<relay_fixture> entry;
-};
-
 // Sends a request to which the first response is cut. What may run only once is sent once and promises nothing; what may be repeated is,
 // but for what another entry host may have run.
-void requireNotTakenForWhole(const cut_message &cut, const cut_request &request, cut_sender sender, cut_moment moment, connection_end end)
+void requireNotTakenForWhole(const cut_message &cut, const cut_request &request, response_sender sender, cut_moment moment, connection_end end)
 {
     CAPTURE(cut.name, request.method, request.target, textOf(sender), textOf(moment), textOf(end));
     constexpr int maxWarmRequests = 100;
-    cut_path path(sender);
-    caller client(*path.entry);
-    path.servers.arm(cut, moment, end);
+    cutting_pair servers;
+    relay_path path(sender, servers.both());
+    caller client(path.entry());
+    servers.arm(cut, moment, end);
     const auto send = [&] { return client.exchange(request.method, request.target, "", request.method == "POST" ? "x" : ""); };
     auto answer = send();
-    for (int i = 0; i < maxWarmRequests && path.servers.requests() == 0; ++i) {
+    for (int i = 0; i < maxWarmRequests && servers.requests() == 0; ++i) {
         REQUIRE(answer.result_int() == 200);
         answer = send();
     }
-    const bool isRepeated = !request.runOnce && sender != cut_sender::peer;
-    REQUIRE(path.servers.requests() == (isRepeated ? 2 : 1));
+    const bool isRepeated = !request.runOnce && sender != response_sender::peer;
+    REQUIRE(servers.requests() == (isRepeated ? 2 : 1));
     REQUIRE(answer.result_int() == (isRepeated ? 200 : 502));
     REQUIRE((!isRepeated || answer.body() == "mine"));
     // Nothing of the cut response is left for the next request.
@@ -188,13 +145,13 @@
     const auto end = GENERATE(connection_end::closed, connection_end::reset);
     const auto request = GENERATE(cut_request {"POST", "/once/cut"}, cut_request {"HEAD", "/once/cut"}, cut_request {"GET", "/again/cut", false});
     for (const auto &cut : cutResponseHeads(request.target.substr(1), response_forms::all)) {
-        requireNotTakenForWhole(cut, request, cut_sender::upstream, cut_moment::newConnection, end);
+        requireNotTakenForWhole(cut, request, response_sender::upstream, cut_moment::newConnection, end);
     }
 }
 
 TEST_CASE("relay: a response that ends within its head is not taken for a whole one, wherever it comes from", "[relay][peers][truncated]")
 {
-    const auto sender = GENERATE(cut_sender::upstream, cut_sender::upstreamBehindPeer, cut_sender::peer);
+    const auto sender = GENERATE(response_sender::upstream, response_sender::upstreamBehindPeer, response_sender::peer);
     const auto moment = GENERATE(cut_moment::newConnection, cut_moment::keptConnection, cut_moment::afterInterim);
     const auto end = GENERATE(connection_end::closed, connection_end::reset);
     const auto request = GENERATE(cut_request {"POST", "/once/cut"}, cut_request {"GET", "/again/cut", false});
@@ -205,7 +162,7 @@
 
 TEST_CASE("relay: a held response that ends within its body or trailer is never taken for a whole one", "[relay][peers][truncated]")
 {
-    const auto sender = GENERATE(cut_sender::upstream, cut_sender::upstreamBehindPeer, cut_sender::peer);
+    const auto sender = GENERATE(response_sender::upstream, response_sender::upstreamBehindPeer, response_sender::peer);
     const auto end = GENERATE(connection_end::closed, connection_end::reset);
     const auto request = GENERATE(cut_request {"POST", "/once/cut"}, cut_request {"GET", "/again/cut", false});
     const std::string id = request.target.substr(1);
@@ -224,7 +181,7 @@
 TEST_CASE("relay: a long response that ends within its body or trailer does not look whole", "[relay][peers][truncated]")
 {
     constexpr std::size_t longBytes = 3000000;
-    const auto sender = GENERATE(cut_sender::upstream, cut_sender::upstreamBehindPeer, cut_sender::peer);
+    const auto sender = GENERATE(response_sender::upstream, response_sender::upstreamBehindPeer, response_sender::peer);
     const auto end = GENERATE(connection_end::closed, connection_end::reset);
     auto cuts = cutResponseBodies("once/cut", longBytes);
     if (end == connection_end::reset) {
@@ -232,12 +189,13 @@
     }
     for (const auto &cut : cuts) {
         CAPTURE(cut.name, textOf(sender), textOf(end));
-        cut_path path(sender);
-        caller client(*path.entry);
-        path.servers.arm(cut, cut_moment::newConnection, end);
+        cutting_pair servers;
+        relay_path path(sender, servers.both());
+        caller client(path.entry());
+        servers.arm(cut, cut_moment::newConnection, end);
         const auto answer = client.exchange("POST", "/once/cut", "", "x");
         REQUIRE((answer.result_int() == 0 || answer.result_int() == 502));
-        REQUIRE(path.servers.requests() == 1);
+        REQUIRE(servers.requests() == 1);
     }
 }
 
