relay: a response without a length is not whole when its connection was lost during an upload

Callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the kernel reports the loss of a connection once. The write of the body took the error; the relay then read the response, found the bytes that had arrived before, and a regular end, which ends a body without a length.

Why this works: upstream_connection keeps that a write found the connection lost, and a response whose body ends with such a connection breaks the attempt: 502, as the request may have run. A reset that follows the regular end of the upstream's bytes is told apart by its error (broken pipe), and its response is passed on. A length or chunks show the end of a body without the connection, and a refusal is stated by its head.

Tests that passed before and guard against too much: "...that ends before a reset during an upload is passed on", "relay: a whole response with a length or in chunks is passed on although its connection is reset during an upload". The daemon's client for upstreams reads nothing after a write that failed: "upstream_client: a response without a length that is reset during a long request breaks the attempt" passed at once. The 13 test cases of [truncated] pass (24,710 assertions).

--- a/src/relay/upstream_attempt.cpp
+++ b/src/relay/upstream_attempt.cpp
@@ -69,6 +69,12 @@
     return parser.is_done() || (!parser.need_eof() && parser.content_length().value_or(0) <= maxBufferedBodyBytes);
 }
 
+// Returns false when the body ends with its connection and the connection was lost, so that nothing tells a truncated body from a whole one.
+bool isEndKnown(const upstream_response::parser_type &parser, const upstream_connection &connection)
+{
+    return !parser.need_eof() || !connection.isLost;
+}
+
 } // namespace
 
 bool mayHandleRestricted(const relay_parts &parts, const request_context &context)
@@ -224,20 +230,28 @@
         }
         const auto [failed, count] = co_await asio::async_write(m_connection->stream, asio::buffer(payload), noThrow);
         if (failed) {
-            // The upstream may have responded before it closed the connection.
-            m_notReusable = true;
+            onBodyWriteFailed(failed);
             co_return true;
         }
     }
     if (chunked) {
         const auto [failed, count] = co_await asio::async_write(m_connection->stream, asio::buffer(lastChunk), noThrow);
-        m_notReusable = m_notReusable || static_cast<bool>(failed);
+        if (failed) {
+            onBodyWriteFailed(failed);
+        }
     }
     m_callerStream.expires_never();
     m_callerMeter.setServing(true);
     co_return true;
 }
 
+void upstream_attempt::onBodyWriteFailed(const error_code &failed)
+{
+    m_notReusable = true;
+    // A reset that follows the end of the upstream's bytes is reported as a broken pipe; its response is whole.
+    m_connection->isLost = m_connection->isLost || failed != asio::error::broken_pipe;
+}
+
 // Goes on with a long body that was interrupted by a response other than the final one to this request. Returns true when a response
 // should be read.
 asio::awaitable<bool> upstream_attempt::resumeBody(request_context &context, attempt_outcome &outcome)
@@ -290,7 +304,8 @@
             outcome.load = metadata.load;
             outcome.warmupRemaining = metadata.warmupRemaining;
         }
-        const bool isUsable = isMatching ? isRefusal || metadata.hasServerStamp : !metadata.id.empty() && mayFitBuffer(*response.parser);
+        const bool isUsable = isMatching ? isRefusal || (metadata.hasServerStamp && isEndKnown(*response.parser, *m_connection))
+                                         : !metadata.id.empty() && mayFitBuffer(*response.parser);
         if (!isUsable) {
             outcome.end = dispatch_outcome::broke;
             co_return;
--- a/src/relay/upstream_attempt.h
+++ b/src/relay/upstream_attempt.h
@@ -85,6 +85,8 @@
     boost::asio::awaitable<bool> sendRequest(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome);
     boost::asio::awaitable<bool> streamBody(request_context &context, attempt_outcome &outcome);
     boost::asio::awaitable<bool> resumeBody(request_context &context, attempt_outcome &outcome);
+    // Called when part of the body could not be written. The upstream may have responded before it closed the connection.
+    void onBodyWriteFailed(const boost::system::error_code &failed);
     boost::asio::awaitable<void> readResponse(request_context &context, const dispatch_grant &grant, attempt_outcome &outcome);
     // Passes what the upstream states of itself in a response on to the dispatcher.
     void recordUpstreamState(const request_context &context, const dispatch_grant &grant, const upstream_response &response, const response_metadata &metadata,
--- a/src/relay/upstream_connection.h
+++ b/src/relay/upstream_connection.h
@@ -33,6 +33,9 @@
     std::vector<std::string> refusedIds;
     // While idle, the connection may be reused until this time.
     steady_time idleDeadline {};
+    // A write found that the connection was lost before the upstream had ended its response. The write takes the error with it, and reads then find
+    // what had arrived before and a regular end.
+    bool isLost = false;
 };
 
 /// Pool of one thread's idle connections to upstreams. Single-threaded.
--- a/tests/fakes/scripted_upstream.cpp
+++ b/tests/fakes/scripted_upstream.cpp
@@ -44,8 +44,8 @@
     return true;
 }
 
-// Reads one request and removes it from the front of `buffer`. Returns false if the connection ends first.
-bool readRequest(scripted_upstream::socket &from, std::string &buffer, received_request &request)
+// Reads one request, or `part` of it, and removes it from the front of `buffer`. Returns false if the connection ends first.
+bool readRequest(scripted_upstream::socket &from, std::string &buffer, received_request &request, request_part part)
 {
     if (!readUntil(from, buffer, "\r\n\r\n", 0)) {
         return false;
@@ -54,6 +54,10 @@
     request.head = buffer.substr(0, end);
     buffer.erase(0, end);
     request.body.clear();
+    if (part == request_part::head) {
+        request.body.swap(buffer);
+        return true;
+    }
     if (request.field("Transfer-Encoding") == "chunked") {
         while (true) {
             if (!readUntil(from, buffer, "\r\n", 0)) {
@@ -98,8 +102,9 @@
     return head.substr(0, head.find("\r\n"));
 }
 
-scripted_upstream::scripted_upstream(script answer)
+scripted_upstream::scripted_upstream(script answer, request_part readFirst)
     : m_answer(std::move(answer))
+    , m_readFirst(readFirst)
     , m_acceptor(m_context, {asio::ip::address_v4::loopback(), 0})
     , m_acceptThread([this] { accept(); })
 {
@@ -176,7 +181,7 @@
     std::string buffer;
     received_request request;
     bool open = true;
-    while (open && readRequest(*connection, buffer, request)) {
+    while (open && readRequest(*connection, buffer, request, m_readFirst)) {
         {
             const std::lock_guard guard(m_lock);
             m_requests.push_back(request);
--- a/tests/fakes/scripted_upstream.h
+++ b/tests/fakes/scripted_upstream.h
@@ -25,6 +25,13 @@
     [[nodiscard]] std::string line() const;
 };
 
+/// How much of a request an upstream reads before it answers.
+enum class request_part {
+    whole,
+    /// The head; `received_request::body` is what came along with it, with any framing, and the rest is left in the socket.
+    head,
+};
+
 /// An upstream on a free port of 127.0.0.1 whose answers the test writes byte by byte. Runs one thread per connection.
 class scripted_upstream
 {
@@ -33,7 +40,7 @@
     /// Writes the answer to one request to the socket; returns false to close the connection. Called on the connection's thread.
     using script = std::function<bool(const received_request &, socket &)>;
 
-    explicit scripted_upstream(script answer);
+    explicit scripted_upstream(script answer, request_part readFirst = request_part::whole);
     ~scripted_upstream();
     scripted_upstream(const scripted_upstream &) = delete;
     scripted_upstream &operator=(const scripted_upstream &) = delete;
@@ -63,6 +70,7 @@
     void serve(const std::shared_ptr<socket> &connection);
 
     script m_answer;
+    request_part m_readFirst;
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::atomic<bool> m_closed {false};
--- a/tests/http/truncated_head_test.cpp
+++ b/tests/http/truncated_head_test.cpp
@@ -35,13 +35,14 @@
     afterInterim,
 };
 
-attempt_result sendOnce(upstream_client &client, const std::string &address, const std::string &method)
+attempt_result sendOnce(upstream_client &client, const std::string &address, const std::string &method, const std::string &body = {})
 {
     asio::io_context context;
     proxied_request request;
     request.method = method;
     request.target = "/";
     request.headers = {{"Request-Id", requestId}};
+    request.body = body;
     request.deadline = std::chrono::steady_clock::now() + milliseconds(2000);
     auto sent = asio::co_spawn(context, client.send(address, request), asio::use_future);
     context.run();
@@ -131,6 +132,24 @@
     }
 }
 
+// A request whose write fails is not answered, whatever the upstream has sent before.
+TEST_CASE("upstream_client: a response without a length that is reset during a long request breaks the attempt", "[http][truncated]")
+{
+    const auto part = GENERATE(as<std::string> {}, "", "part");
+    CAPTURE(part);
+    scripted_upstream upstream(
+        [&](const received_request &, scripted_upstream::socket &to) {
+            writeAndEnd(to, "HTTP/1.1 200 OK\r\n\r\n" + part, connection_end::reset);
+            return false;
+        },
+        request_part::head);
+    const auto client = makeUpstreamClient({});
+    const auto result = sendOnce(*client, upstream.address(), "POST", std::string(2 * scripted_upstream::maxUnreadBytes, 'x'));
+    REQUIRE(result.end == attempt_status::broke);
+    REQUIRE(result.status == 0);
+    REQUIRE(result.body.empty());
+}
+
 // An interim response was taken for the final one, with an empty body, and the final one never read.
 TEST_CASE("upstream_client: the response that follows interim ones is the final one", "[http][interim]")
 {
