http: a response with a folded header field breaks its attempt

Callers saw: an upstream's response with a header line that begins with a blank was passed on, that line joined to the field before it. Where the line was the one that delimits the body ("<blank>Transfer-Encoding: chunked"), the caller got the chunk framing as part of the body.

Cause: the parser takes such a line for the continuation of the field before it (obs-fold), wherever it begins with a blank, so that the field which it names is hidden. All other names that hold a blank or a control byte, within or after the name or at its start after the status line, it refuses.

Why this works: readMessage, through which all HTTP messages are read, looks at the lines of a response's header before the parser joins them, and ends with bad_obs_fold. Relay, requests between entry hosts and the daemon's client treat that like any malformed response: the attempt breaks, and the request is repeated only where it may be. A sender must not fold fields, and a proxy may answer 502 for it (RFC 9112, 5.2). Requests of callers are read as before: the blank counts as one within the value.

--- a/include/http/message_reader.h
+++ b/include/http/message_reader.h
@@ -41,6 +41,27 @@
     }
 }
 
+/// Finds folded fields in a header whose bytes arrive in pieces. The parser joins a line that begins with a blank to the field before, so that a field
+/// whose name begins with a blank would be hidden, and the body delimited without it.
+class folded_field_finder
+{
+public:
+    /// Returns true when a line of the header, up to the last of `bytes`, begins with a blank. Bytes after the header are ignored.
+    [[nodiscard]] bool find(std::string_view bytes);
+
+private:
+    enum class place {
+        inLine,
+        afterReturn,
+        lineStart,
+        afterReturnOfEmptyLine,
+        afterHeader,
+    };
+
+    // The place after the bytes seen so far, which begin with the start line.
+    place m_place = place::inLine;
+};
+
 /// Observes the bytes that are read of a message, and may stop reading.
 class read_meter
 {
@@ -56,17 +77,27 @@
 /// The timer of `stream` ends a read that waits, but not reads that always find bytes; `deadline` ends both. The caller sets the timer.
 /// Errors: those of the connection and of the parser; `beast::error::timeout` at the deadline; `http::error::buffer_overflow` when the
 /// buffer is full; `asio::error::no_buffer_space` when `meter` stops reading; `http::error::bad_status` when a response is neither final nor interim;
-/// `http::error::bad_transfer_encoding` when the body cannot be delimited; `http::error::end_of_stream` when the peer closes before the first byte.
+/// `http::error::bad_transfer_encoding` when the body cannot be delimited; `http::error::bad_obs_fold` when a field of a response is folded;
+/// `http::error::end_of_stream` when the peer closes before the first byte.
 template <typename Parser>
 boost::asio::awaitable<boost::system::error_code> readMessage(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, Parser &parser,
                                                               message_part part, steady_time deadline, read_meter *meter = nullptr)
 {
     namespace http = boost::beast::http;
     constexpr std::size_t maxReadBytes = 65536;
+    const auto lastBytes = [&buffer](std::size_t count) {
+        const auto all = static_cast<const char *>(buffer.data().data());
+        return std::string_view(all + buffer.size() - count, count);
+    };
     std::size_t headerBytes = 0;
+    folded_field_finder foldedFields;
+    bool hasFoldedField = !Parser::is_request::value && !parser.is_header_done() && foldedFields.find(lastBytes(buffer.size()));
     parser.eager(part == message_part::whole);
     while (part == message_part::whole ? !parser.is_done() : !parser.is_header_done()) {
         boost::system::error_code error;
+        if (hasFoldedField) {
+            co_return http::error::bad_obs_fold;
+        }
         if (buffer.size() > 0) {
             const auto used = parser.put(buffer.data(), error);
             buffer.consume(used);
@@ -97,12 +128,10 @@
         }
         const auto [failed, count] = co_await stream.async_read_some(buffer.prepare(room), boost::asio::as_tuple(boost::asio::use_awaitable));
         buffer.commit(count);
-        if (meter != nullptr && count > 0) {
-            const auto all = static_cast<const char *>(buffer.data().data());
-            if (!meter->onRead({all + buffer.size() - count, count})) {
-                co_return boost::asio::error::no_buffer_space;
-            }
+        if (meter != nullptr && count > 0 && !meter->onRead(lastBytes(count))) {
+            co_return boost::asio::error::no_buffer_space;
         }
+        hasFoldedField = !Parser::is_request::value && !parser.is_header_done() && foldedFields.find(lastBytes(count));
         if (failed == boost::asio::error::eof && parser.got_some()) {
             error = {};
             parser.put_eof(error);
--- a/tests/http/invalid_response_test.cpp
+++ b/tests/http/invalid_response_test.cpp
@@ -1,7 +1,9 @@
-// Tests what becomes of responses whose status line is not that of a final response, at the client for upstreams, over real sockets.
+// Tests what becomes of responses whose status line is not that of a final response, or whose header has a field without a valid name, at the
+// client for upstreams, over real sockets.
 
 #include "http/upstream_client.h"
 
+#include "fakes/field_lines.h"
 #include "fakes/scripted_upstream.h"
 #include "fakes/status_lines.h"
 
@@ -77,3 +79,38 @@
     REQUIRE(result.status == line.status);
     REQUIRE(result.body == "odd");
 }
+
+// Header lines that begin with a blank were joined with the line before.
+TEST_CASE("upstream_client: a response with a header field without a valid name breaks the attempt", "[http][invalid]")
+{
+    const auto line = GENERATE(from_range(invalidFieldLines()));
+    const auto method = GENERATE(as<std::string> {}, "GET", "POST", "HEAD");
+    const bool hasLength = GENERATE(true, false);
+    CAPTURE(line, method, hasLength);
+    scripted_upstream upstream([&](const received_request &, scripted_upstream::socket &to) {
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Other: o\r\n" + line;
+        scripted_upstream::write(to, hasLength ? withBody(head, "wrong") : head + "\r\n\r\n5\r\nwrong\r\n0\r\n\r\n");
+        return hasLength;
+    });
+    const auto client = makeUpstreamClient({});
+    const auto result = sendOnce(*client, upstream.address(), method);
+    CHECK(result.end == attempt_status::broke);
+    CHECK(result.status == 0);
+    CHECK(result.body.empty());
+    CHECK(upstream.requests() == 1);
+}
+
+TEST_CASE("upstream_client: unusual but valid header fields, and bodies that look like invalid ones, are those of answers", "[http][invalid]")
+{
+    const auto line = GENERATE(from_range(validFieldLines()));
+    const auto body = GENERATE(as<std::string> {}, " X-Note: a\r\n", "a\r\n X-Note: a\r\n\r\n b");
+    CAPTURE(line, body);
+    scripted_upstream upstream([&](const received_request &, scripted_upstream::socket &to) {
+        scripted_upstream::write(to, withBody("HTTP/1.1 200 OK\r\n" + line, body));
+        return true;
+    });
+    const auto client = makeUpstreamClient({});
+    const auto result = sendOnce(*client, upstream.address(), "GET");
+    CHECK(result.end == attempt_status::answered);
+    CHECK(result.body == body);
+}
