codec: an answer of another daemon with an invalid field name is not passed on

Callers saw: nothing so far. A forwarded answer, and a stored one, whose header has a name with a blank or a control byte was decoded and passed on as it came; a name with a line break makes another header of it.

Cause: the codec of the messages between daemons checks the status of an answer, but not the names of its fields. No release is known to send such a name, as the parser refuses it in responses of upstreams.

Why this works: isFieldName accepts tokens only, and hasValidHead asks for both status and names. A forwarded answer without a valid head is a failure that may have run, and a stored one counts as not kept, so that the request does not run again, as with invalid statuses.

--- a/src/codec/peer_codec.cpp
+++ b/src/codec/peer_codec.cpp
@@ -1,6 +1,7 @@
 #include "codec/peer_codec.h"
 
 #include "codec/replica_codec.h"
+#include "core/http_field.h"
 #include "core/http_status.h"
 #include "repeated_codec.h"
 
@@ -92,10 +93,16 @@
     return message;
 }
 
-// Returns an empty value when the status is not that of a final response: hosts of earlier releases store those of any response.
+// Returns true when an answer has the status and the field names of a final response.
+template <typename Answer> bool hasValidHead(const Answer &answer)
+{
+    return isFinalStatus(answer.status()) && std::ranges::all_of(answer.headers(), [](const auto &header) { return isFieldName(header.name()); });
+}
+
+// Returns an empty value when the head is not that of a final response: hosts of earlier releases store those of any response.
 std::optional<stored_answer> decodeAnswer(const schema::stored_answer &value)
 {
-    if (!isFinalStatus(value.status())) {
+    if (!hasValidHead(value)) {
         return std::nullopt;
     }
     return stored_answer {.status = value.status(), .headers = decodeHeaders(value.headers()), .body = value.body()};
@@ -310,8 +317,8 @@
     auto &answer = message.answer;
     answer.outcome = static_cast<run_outcome>(value.outcome());
     answer.error = static_cast<errc>(value.error());
-    // Hosts of earlier releases pass on the status of any response.
-    const bool isInvalid = answer.isFromUpstream() && !isFinalStatus(value.status());
+    // Hosts of earlier releases pass on the head of any response.
+    const bool isInvalid = answer.isFromUpstream() && !hasValidHead(value);
     if (isInvalid) {
         answer.outcome = run_outcome::unknown;
         answer.error = errc::upstreamFailed;
--- a/tests/rpc/peer_codec_test.cpp
+++ b/tests/rpc/peer_codec_test.cpp
@@ -9,12 +9,12 @@
 namespace
 {
 
-forward_result decodedForward(std::uint32_t status)
+forward_result decodedForward(std::uint32_t status, const std::string &fieldName = "X")
 {
     forward_result sent;
     sent.answer.outcome = run_outcome::run;
     sent.answer.status = status;
-    sent.answer.headers = {{"X", "y"}};
+    sent.answer.headers = {{"X-Other", "o"}, {fieldName, "y"}};
     sent.answer.body = "inside";
     sent.answer.instance = instance_name("u1");
     schema::forward_reply message;
@@ -22,6 +22,12 @@
     return decode(message);
 }
 
+std::vector<std::string> invalidFieldNames()
+{
+    using namespace std::string_literals;
+    return {"", " ", "X Note", " X-Note", "X-Note ", "X-Note\t", "X\x01Note", "X\0Note"s, "X\x7fNote", "X-Note:", "X-Note\r\nX-Other", "X-\xc3\xa9"};
+}
+
 } // namespace
 
 // Earlier releases take a response with any status from 200 on for an answer, and send it to hosts that forward requests to them.
@@ -68,3 +74,41 @@
     REQUIRE(decode(request).action == claim_action::finish);
     REQUIRE(decode(request).answer.has_value() == isFinal);
 }
+
+// A name that is no token makes another header of the answer that the caller gets.
+TEST_CASE("peer codec: a forwarded answer with an invalid field name is a failure that may have run", "[invalid]")
+{
+    const auto name = GENERATE(from_range(invalidFieldNames()));
+    CAPTURE(name);
+    const auto answer = decodedForward(200, name).answer;
+    REQUIRE_FALSE(answer.isFromUpstream());
+    REQUIRE(answer.error == errc::upstreamFailed);
+    REQUIRE(answer.outcome == run_outcome::unknown);
+    REQUIRE(answer.status == 0);
+    REQUIRE(answer.headers.empty());
+    REQUIRE(answer.body.empty());
+}
+
+TEST_CASE("peer codec: a stored answer with an invalid field name is not kept", "[invalid]")
+{
+    const auto name = GENERATE(from_range(invalidFieldNames()));
+    CAPTURE(name);
+    const stored_answer stored {.status = 200, .headers = {{"X-Other", "o"}, {name, "y"}}, .body = "inside"};
+    schema::claim_reply reply;
+    REQUIRE(reply.ParseFromString(encode(claim_reply {.verdict = claim_verdict::finished, .answer = stored}).SerializeAsString()));
+    REQUIRE(decode(reply).verdict == claim_verdict::finished);
+    REQUIRE_FALSE(decode(reply).answer);
+    schema::claim_request request;
+    REQUIRE(request.ParseFromString(encode(claim_request {.action = claim_action::finish, .answer = stored}).SerializeAsString()));
+    REQUIRE(decode(request).action == claim_action::finish);
+    REQUIRE_FALSE(decode(request).answer);
+}
+
+TEST_CASE("peer codec: every valid field name of an answer is kept", "[invalid]")
+{
+    const auto name = GENERATE(as<std::string> {}, "X-Note", "x", "9", "!#$%&'*+-.^_`|~");
+    CAPTURE(name);
+    const auto answer = decodedForward(200, name).answer;
+    REQUIRE(answer.isFromUpstream());
+    REQUIRE(answer.headers == http_headers {{"X-Other", "o"}, {name, "y"}});
+}
