http, tests: one check for folded fields, one copy of chunkOf and of the checks of a failed answer

readMessage asks for folded fields in one place for bytes already buffered and bytes just read; the codec's comments say what earlier releases send. The tests share chunkOf and requireFailure, and a wait for full buffers ends after 10 s. No check changes.

--- a/include/http/message_reader.h
+++ b/include/http/message_reader.h
@@ -91,13 +91,14 @@
     };
     std::size_t headerBytes = 0;
     folded_field_finder foldedFields;
-    bool hasFoldedField = !Parser::is_request::value && !parser.is_header_done() && foldedFields.find(lastBytes(buffer.size()));
+    const auto hasFoldedField
+        = [&](std::size_t newBytes) { return !Parser::is_request::value && !parser.is_header_done() && foldedFields.find(lastBytes(newBytes)); };
+    if (hasFoldedField(buffer.size())) {
+        co_return http::error::bad_obs_fold;
+    }
     parser.eager(part == message_part::whole);
     while (part == message_part::whole ? !parser.is_done() : !parser.is_header_done()) {
         boost::system::error_code error;
-        if (hasFoldedField) {
-            co_return http::error::bad_obs_fold;
-        }
         if (buffer.size() > 0) {
             const auto used = parser.put(buffer.data(), error);
             buffer.consume(used);
@@ -131,7 +132,9 @@
         if (meter != nullptr && count > 0 && !meter->onRead(lastBytes(count))) {
             co_return boost::asio::error::no_buffer_space;
         }
-        hasFoldedField = !Parser::is_request::value && !parser.is_header_done() && foldedFields.find(lastBytes(count));
+        if (hasFoldedField(count)) {
+            co_return http::error::bad_obs_fold;
+        }
         if (failed == boost::asio::error::eof && parser.got_some()) {
             error = {};
             parser.put_eof(error);
--- a/src/codec/peer_codec.cpp
+++ b/src/codec/peer_codec.cpp
@@ -99,7 +99,7 @@
     return isFinalStatus(answer.status()) && std::ranges::all_of(answer.headers(), [](const auto &header) { return isFieldName(header.name()); });
 }
 
-// Returns an empty value when the head is not that of a final response: hosts of earlier releases store those of any response.
+// Returns an empty value when the head is not that of a final response: hosts of earlier releases store responses with any status.
 std::optional<stored_answer> decodeAnswer(const schema::stored_answer &value)
 {
     if (!hasValidHead(value)) {
@@ -317,7 +317,7 @@
     auto &answer = message.answer;
     answer.outcome = static_cast<run_outcome>(value.outcome());
     answer.error = static_cast<errc>(value.error());
-    // Hosts of earlier releases pass on the head of any response.
+    // Hosts of earlier releases pass on responses with any status.
     const bool isInvalid = answer.isFromUpstream() && !hasValidHead(value);
     if (isInvalid) {
         answer.outcome = run_outcome::unknown;
--- a/tests/fakes/cut_heads.cpp
+++ b/tests/fakes/cut_heads.cpp
@@ -45,13 +45,6 @@
     return common;
 }
 
-std::string chunkOf(const std::string &body)
-{
-    std::array<char, 24> size {};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
-    return size.data() + body + "\r\n";
-}
-
 } // namespace
 
 std::vector<cut_message> cutsOf(const std::string &firstLine, const std::string &fieldLines)
@@ -105,6 +98,13 @@
     };
 }
 
+std::string chunkOf(const std::string &body)
+{
+    std::array<char, 24> size {};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
+    return size.data() + body + "\r\n";
+}
+
 std::string textOf(connection_end end)
 {
     return end == connection_end::closed ? "closed" : "reset";
--- a/tests/fakes/cut_heads.h
+++ b/tests/fakes/cut_heads.h
@@ -31,6 +31,9 @@
 /// it that comes.
 std::vector<cut_message> cutResponseBodies(const std::string &id, std::size_t bodyBytes);
 
+/// Returns `body`, which is not empty, as one chunk.
+std::string chunkOf(const std::string &body);
+
 enum class connection_end {
     closed,
     reset,
--- a/tests/relay/lost_upload_test.cpp
+++ b/tests/relay/lost_upload_test.cpp
@@ -7,8 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <future>
-#include <sstream>
 #include <thread>
+#include <utility>
 
 using namespace hornbeampick;
 using namespace hornbeampick::testing;
@@ -49,14 +49,15 @@
     return {};
 }
 
-// Waits until no more bytes arrive, since the buffers of both sockets are full.
+// Waits until no more bytes arrive, since the buffers of both sockets are full; for 10 s at most.
 void awaitFullBuffers(scripted_upstream::socket &from)
 {
     constexpr milliseconds pollInterval {100};
+    constexpr int maxPolls = 100;
     error_code ignored;
     std::size_t before = 0;
     std::size_t now = from.available(ignored);
-    while (now == 0 || now != before) {
+    for (int i = 0; i < maxPolls && (now == 0 || now != before); ++i) {
         std::this_thread::sleep_for(pollInterval);
         before = std::exchange(now, from.available(ignored));
     }
@@ -127,13 +128,6 @@
     return "POST /once/upload HTTP/1.1\r\nHost: x\r\nRequest-Id: upload\r\nDeadline-Ms: 2500\r\n" + framing + "\r\n\r\n";
 }
 
-std::string chunkOf(const std::string &payload)
-{
-    std::ostringstream size;
-    size << std::hex << payload.size();
-    return size.str() + "\r\n" + payload + "\r\n";
-}
-
 // Sends `rest` and reads the answer meanwhile; its status is 0 when that does not look complete.
 caller::response readWhileSending(caller &client, const std::string &rest)
 {
--- a/tests/rpc/peer_codec_test.cpp
+++ b/tests/rpc/peer_codec_test.cpp
@@ -22,6 +22,17 @@
     return decode(message);
 }
 
+// Requires that the request may have run and nothing of its response is left.
+void requireFailure(const proxied_answer &answer)
+{
+    REQUIRE_FALSE(answer.isFromUpstream());
+    REQUIRE(answer.error == errc::upstreamFailed);
+    REQUIRE(answer.outcome == run_outcome::unknown);
+    REQUIRE(answer.status == 0);
+    REQUIRE(answer.headers.empty());
+    REQUIRE(answer.body.empty());
+}
+
 std::vector<std::string> invalidFieldNames()
 {
     using namespace std::string_literals;
@@ -36,12 +47,7 @@
     const auto status = GENERATE(as<std::uint32_t> {}, 0, 99, 100, 101, 199, 600, 999, 100000);
     const auto answer = decodedForward(status).answer;
     CAPTURE(status);
-    REQUIRE_FALSE(answer.isFromUpstream());
-    REQUIRE(answer.error == errc::upstreamFailed);
-    REQUIRE(answer.outcome == run_outcome::unknown);
-    REQUIRE(answer.status == 0);
-    REQUIRE(answer.headers.empty());
-    REQUIRE(answer.body.empty());
+    requireFailure(answer);
     REQUIRE(answer.instance == instance_name("u1"));
 }
 
@@ -81,12 +87,7 @@
     const auto name = GENERATE(from_range(invalidFieldNames()));
     CAPTURE(name);
     const auto answer = decodedForward(200, name).answer;
-    REQUIRE_FALSE(answer.isFromUpstream());
-    REQUIRE(answer.error == errc::upstreamFailed);
-    REQUIRE(answer.outcome == run_outcome::unknown);
-    REQUIRE(answer.status == 0);
-    REQUIRE(answer.headers.empty());
-    REQUIRE(answer.body.empty());
+    requireFailure(answer);
 }
 
 TEST_CASE("peer codec: a stored answer with an invalid field name is not kept", "[invalid]")
