node: log what the acknowledgement of a departure rests on

Change: the decision moves out of control_node into departure_confirmer, without a change of behaviour; leaving-confirmed tells how many entry hosts were silent and whether a leader was known, before and after the wait. announcement_saver is the interface of the persister to it.

Test: 'departure_confirmer: a departure holds once all entry hosts know it and it is saved'; passes before and after.

--- a/include/fleet/entry_host_list.h
+++ b/include/fleet/entry_host_list.h
@@ -39,6 +39,14 @@
     includingAbsent,
 };
 
+/// What a control host knows of the entry hosts at one time, for log lines.
+struct entry_host_presence {
+    std::uint32_t listed = 0;
+    /// Listed hosts without a recent watch query.
+    std::uint32_t absent = 0;
+    bool knowsLeader = false;
+};
+
 /// The entry hosts that a look-up names.
 struct entry_selection {
     std::vector<std::string> addresses;
@@ -68,6 +76,7 @@
     [[nodiscard]] std::uint32_t count() const;
     /// Returns the number of listed hosts without a watch query for `age` or longer.
     [[nodiscard]] std::uint32_t countQuietFor(milliseconds age, steady_time now) const;
+    [[nodiscard]] entry_host_presence presence(steady_time now) const;
     /// Returns the position of `host` among the listed hosts of its region, absent ones included, from 1 on; 0 when it is not listed.
     [[nodiscard]] std::uint32_t placeInRegion(const entry_host &host) const;
     /// Returns the number of listed hosts in `region`, absent ones included.
--- a/include/node/announcement_persister.h
+++ b/include/node/announcement_persister.h
@@ -14,15 +14,29 @@
 namespace hornbeampick
 {
 
+/// Tells when announcements are durable.
+class announcement_saver
+{
+public:
+    announcement_saver() = default;
+    virtual ~announcement_saver() = default;
+    announcement_saver(const announcement_saver &) = delete;
+    announcement_saver &operator=(const announcement_saver &) = delete;
+
+    /// Calls `done(true)` once all changes up to `position` are saved, or `done(false)` when they are not saved by `deadline`, for example
+    /// because saving fails, or at destruction.
+    virtual void awaitSaved(std::uint64_t position, steady_time deadline, std::function<void(bool)> done) = 0;
+};
+
 /// Saves the announcements that a control host has received. Runs on a thread of its own, so that a slow disk delays nothing else.
 ///
 /// Thanks to the saved list, entry hosts send requests to the same upstreams as before immediately after a power failure. Without
 /// it the list would fill over a whole announcement interval, and objects would go to upstreams where they are cold.
-class announcement_persister
+class announcement_persister final : public announcement_saver
 {
 public:
     announcement_persister(announcement_log &log, announcement_store &store, clock_source &clock);
-    ~announcement_persister();
+    ~announcement_persister() override;
     announcement_persister(const announcement_persister &) = delete;
     announcement_persister &operator=(const announcement_persister &) = delete;
 
@@ -30,9 +44,7 @@
     void start();
     /// Wakes the thread after a change of the log.
     void notifyChanged();
-    /// Calls `done(true)` once all changes up to `position` are saved, or `done(false)` when they are not saved by `deadline`, for example
-    /// because saving fails, or at destruction.
-    void awaitSaved(std::uint64_t position, steady_time deadline, std::function<void(bool)> done);
+    void awaitSaved(std::uint64_t position, steady_time deadline, std::function<void(bool)> done) override;
 
 private:
     struct waiter {
--- /dev/null
+++ b/include/node/departure_confirmer.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "node/announcement_persister.h"
+#include "node/watch_server.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace hornbeampick
+{
+
+/// Dependencies of a departure confirmer. All must outlive it.
+struct departure_confirmer_parts {
+    entry_host_list &hosts;
+    watch_server &watchServer;
+    announcement_saver &saver;
+    clock_source &clock;
+};
+
+/// Decides whether the departure of an upstream may be acknowledged: no entry host may go on sending requests to it unless it is out of touch
+/// itself, and the departure must outlast a loss of power. Thread-safe.
+class departure_confirmer
+{
+public:
+    explicit departure_confirmer(const departure_confirmer_parts &parts);
+
+    /// Waits until the departure of `instance`, which has the given position in the announcement log, holds. Errors: notConfirmed when it does not
+    /// within 700 ms, or cannot be known to.
+    boost::asio::awaitable<status> confirm(instance_name instance, std::uint64_t position);
+
+private:
+    departure_confirmer_parts m_parts;
+};
+
+} // namespace hornbeampick
--- a/src/fleet/entry_host_list.cpp
+++ b/src/fleet/entry_host_list.cpp
@@ -105,6 +105,13 @@
     return static_cast<std::uint32_t>(std::ranges::count_if(m_records, [&](const auto &item) { return now - item.second.lastQueryAt >= age; }));
 }
 
+entry_host_presence entry_host_list::presence(steady_time now) const
+{
+    const auto absent = countQuietFor(m_options.absentAfter, now);
+    const std::lock_guard guard(m_lock);
+    return {.listed = static_cast<std::uint32_t>(m_records.size()), .absent = absent, .knowsLeader = m_leaderKnownSince.has_value()};
+}
+
 std::uint32_t entry_host_list::count() const
 {
     const std::lock_guard guard(m_lock);
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -3,6 +3,7 @@
 #include "daemon/logging_ledger_listener.h"
 #include "daemon/process_signals.h"
 #include "node/announcement_persister.h"
+#include "node/departure_confirmer.h"
 #include "node/node.h"
 #include "node/quota_server.h"
 #include "node/watch_server.h"
@@ -32,8 +33,6 @@
 // Fits a complete configuration of several thousand routes.
 constexpr std::size_t maxRequestBodyBytes = 8 << 20;
 constexpr milliseconds maintenanceInterval {50};
-// Upstreams time out their calls after 1 s, so that the response must be sent earlier.
-constexpr milliseconds confirmTimeout {700};
 constexpr std::size_t bytesPerMegabyte = std::size_t {1024} * 1024;
 // The entries of the log take at most this part of the memory of the process.
 constexpr std::size_t logMemoryDivisor = 16;
@@ -46,7 +45,7 @@
 constexpr milliseconds leaderHeartbeatInterval {100};
 // Delay after the transfer of leadership, in which the last messages are still sent.
 constexpr milliseconds leadershipTransferDelay {100};
-// Longer than `confirmTimeout` and a retried save, so that the calls in progress are answered.
+// Longer than the time in which a departure is confirmed and a retried save, so that the calls in progress are answered.
 constexpr milliseconds drainTimeout {1500};
 constexpr milliseconds drainPollInterval {20};
 constexpr milliseconds rpcShutdownGrace {300};
@@ -85,6 +84,8 @@
         m_announcementStore = makeAnnouncementFileStore(*m_files);
         m_persister = std::make_unique<announcement_persister>(m_announcements, *m_announcementStore, m_clock);
         m_persister->start();
+        m_departures = std::make_unique<departure_confirmer>(
+            departure_confirmer_parts {.hosts = m_hosts, .watchServer = m_watchServer, .saver = *m_persister, .clock = m_clock});
         m_replica = std::make_unique<replica_node>(replicaOptions(), *m_store, *this, *this, m_clock, m_random);
         const auto &listenAddress = m_settings->rpc_listen().empty() ? m_settings->rpc() : m_settings->rpc_listen();
         auto rpcServer = makeGrpcControlServer(listenAddress, plainTextTls(), *this, &m_counters);
@@ -158,26 +159,7 @@
             co_return success();
         }
         m_hosts.recordLeader(knowsLeader(), m_clock.now());
-        const auto required = m_hosts.requiredForConfirmation(m_clock.now());
-        if (!required) {
-            logEvent(log_level::warning, "leaving-not-confirmed", {{"instance", instance.string()}, {"known", false}, {"fleetKnown", false}});
-            co_return make_error_code(errc::notConfirmed);
-        }
-        auto start = [this, position, &required](std::function<void(bool)> done) {
-            m_watchServer.awaitAcknowledgement(position, *required, confirmTimeout, std::move(done));
-        };
-        const auto deadline = m_clock.now() + confirmTimeout;
-        const bool isAcknowledged = co_await awaitCallback<bool>(start);
-        auto startSave = [this, position, deadline](std::function<void(bool)> done) { m_persister->awaitSaved(position, deadline, std::move(done)); };
-        bool isSaved = false;
-        if (isAcknowledged) {
-            isSaved = co_await awaitCallback<bool>(startSave);
-        }
-        if (!isSaved) {
-            logEvent(log_level::warning, "leaving-not-confirmed", {{"instance", instance.string()}, {"known", isAcknowledged}});
-            co_return make_error_code(errc::notConfirmed);
-        }
-        co_return success();
+        co_return co_await m_departures->confirm(instance, position);
     }
 
     asio::awaitable<status> submitRouting(routing_table table) override
@@ -438,6 +420,7 @@
     std::unique_ptr<replica_store> m_store;
     std::unique_ptr<announcement_store> m_announcementStore;
     std::unique_ptr<announcement_persister> m_persister;
+    std::unique_ptr<departure_confirmer> m_departures;
     std::unique_ptr<replica_node> m_replica;
     std::unique_ptr<peer_server> m_rpcServer;
     std::unique_ptr<http_server> m_controlServer;
--- /dev/null
+++ b/tests/node/departure_confirmer_test.cpp
@@ -0,0 +1,137 @@
+// Tests when the departure of an upstream is acknowledged, with a mock of the disk and a manual clock.
+
+#include "fakes/manual_clock.h"
+#include "node/departure_confirmer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <utility>
+
+using namespace hornbeampick;
+using namespace hornbeampick::testing;
+
+namespace
+{
+
+constexpr std::uint64_t controlIncarnation = 7;
+constexpr milliseconds step {50};
+constexpr milliseconds queryInterval {500};
+// A leader that loses its majority still counts itself as the leader for this long.
+constexpr milliseconds leaderMemory {1200};
+
+class saver_mock final : public announcement_saver
+{
+public:
+    // Saves are held back while set.
+    bool isStalled = false;
+
+    void awaitSaved(std::uint64_t /*position*/, steady_time /*deadline*/, std::function<void(bool)> done) override
+    {
+        m_done = std::move(done);
+        complete();
+    }
+    void complete()
+    {
+        if (!isStalled && m_done) {
+            std::exchange(m_done, nullptr)(true);
+        }
+    }
+
+private:
+    std::function<void(bool)> m_done;
+};
+
+// A control host with the entry hosts "near" and "far", which query it while they can.
+struct departure_fixture {
+    manual_clock clock;
+    announcement_log log;
+    entry_host_list hosts {{.startedAt = clock.now()}};
+    watch_server server {controlIncarnation, log, hosts, clock};
+    saver_mock saver;
+    departure_confirmer confirmer {{.hosts = hosts, .watchServer = server, .saver = saver, .clock = clock}};
+    boost::asio::io_context context;
+    // While set, neither the other control hosts nor the entry host "far" can be reached.
+    bool isCutOff = false;
+    std::optional<errc> outcome;
+
+    departure_fixture()
+    {
+        pass(seconds(3));
+    }
+
+    void pass(milliseconds time)
+    {
+        const auto end = clock.now() + time;
+        while (clock.now() < end) {
+            clock.advance(step);
+            if (!isCutOff) {
+                m_lastContactAt = clock.now();
+            }
+            recordContact();
+            if (clock.now().time_since_epoch() % queryInterval == milliseconds(0)) {
+                query("near");
+                if (!isCutOff) {
+                    query("far");
+                }
+            }
+            server.completeReady();
+            saver.complete();
+            context.restart();
+            context.poll();
+        }
+    }
+
+    // An upstream begins to leave.
+    void leave()
+    {
+        const instance_name instance("i");
+        const auto position = log.report({.service = service_name("s"),
+                                          .instance = instance,
+                                          .address = "10.0.0.1:80",
+                                          .incarnation = 1,
+                                          .state = upstream_state::draining,
+                                          .reportedAt = 1},
+                                         clock.now());
+        server.completeReady();
+        boost::asio::co_spawn(context, confirm(instance, position), boost::asio::detached);
+    }
+
+private:
+    boost::asio::awaitable<void> confirm(instance_name instance, std::uint64_t position)
+    {
+        const auto ended = co_await confirmer.confirm(std::move(instance), position);
+        outcome = ended ? errc::ok : static_cast<errc>(ended.error().value());
+    }
+    void recordContact()
+    {
+        hosts.recordLeader(clock.now() < m_lastContactAt + leaderMemory, clock.now());
+    }
+    void query(const char *name)
+    {
+        const entry_host watcher {.host = host_name(name), .region = region_name("r"), .incarnation = 1};
+        const auto position = log.position();
+        server.handle({.watcher = watcher, .source = controlIncarnation, .position = position, .wait = milliseconds(0)}, [](const watch_answer &) {});
+    }
+
+    steady_time m_lastContactAt {};
+};
+
+} // namespace
+
+TEST_CASE("departure_confirmer: a departure holds once all entry hosts know it and it is saved", "[node][drain]")
+{
+    departure_fixture fixture;
+    fixture.saver.isStalled = GENERATE(false, true);
+    fixture.leave();
+    CHECK(!fixture.outcome);
+    fixture.pass(milliseconds(500));
+    if (fixture.saver.isStalled) {
+        CHECK(!fixture.outcome);
+        fixture.saver.isStalled = false;
+        fixture.pass(step);
+    }
+    CHECK(fixture.outcome == errc::ok);
+}
