fleet: acknowledge a departure by the contact at the time of the acknowledgement

Cause: control_node::announce decided once, before a wait of up to 0.7 s, which entry hosts had to follow. A control host that was cut off still knew a leader then; the entry hosts beyond the cut turned silent during the wait and were left out.

Change: allCaughtUp judges when the acknowledgement is given. A silent entry host counts as out of service only once it was silent for 1.5 s in which this control host was in contact with a majority of the voters, told by confirmedAt of the replica. A cut ends contact and queries at the same moment, so contact from before it can't prove the silence of a host beyond it. That a leader is known no longer counts: that belief outlives the contact by up to 1.2 s, which would have been the same fault without a wait.

Two tests of entry_host_list used the enum that is gone; they check the same cases by contact, and more of them: contact that is too old by 100 ms, silence right after a cut and after a pause.

--- a/include/fleet/entry_host_list.h
+++ b/include/fleet/entry_host_list.h
@@ -31,20 +31,13 @@
     std::span<const region_name> allowedRegions;
 };
 
-/// The entry hosts that must have applied a change before it is confirmed.
-enum class required_hosts {
-    /// Hosts with a recent watch query.
-    present,
-    /// All listed hosts, absent ones included: an absent host may be partitioned from this control host only, and still serve callers.
-    includingAbsent,
-};
-
 /// What a control host knows of the entry hosts at one time, for log lines.
 struct entry_host_presence {
     std::uint32_t listed = 0;
     /// Listed hosts without a recent watch query.
     std::uint32_t absent = 0;
-    bool knowsLeader = false;
+    /// Time since the last known contact with a majority of the log's voters; 0 when there was none.
+    milliseconds contactAge {0};
 };
 
 /// The entry hosts that a look-up names.
@@ -70,8 +63,12 @@
     /// Returns serving hosts that are not isolated, at most `limit`, those in the region of `watcher` first. Each watcher gets another
     /// order, so that together they use all hosts.
     [[nodiscard]] std::vector<relay_peer> relayPeersFor(const entry_host &watcher, std::size_t limit, steady_time now) const;
-    /// Returns true when every required host has the announcements up to `position` and at least one host is present.
-    [[nodiscard]] bool allCaughtUp(std::uint64_t position, required_hosts required, steady_time now) const;
+    /// Returns true when every host that may still serve callers has the announcements up to `position` and at least one host is present. A host
+    /// that is silent counts as out of service only when this control host was in contact with the log's voters meanwhile: otherwise the
+    /// silence may be that of a partition around this control host. Always false until `isFleetKnown`.
+    [[nodiscard]] bool allCaughtUp(std::uint64_t position, steady_time now) const;
+    /// Returns true once this process has been in contact for long enough to have heard of all hosts that are in touch.
+    [[nodiscard]] bool isFleetKnown() const;
     /// Returns the number of listed hosts, absent ones included.
     [[nodiscard]] std::uint32_t count() const;
     /// Returns the number of listed hosts without a watch query for `age` or longer.
@@ -82,15 +79,12 @@
     /// Returns the number of listed hosts in `region`, absent ones included.
     [[nodiscard]] std::uint32_t countIn(const region_name &region) const;
 
-    /// Removes hosts whose retention period has passed. While no leader of the log is known, hosts stay listed: they may be cut off from this
-    /// control host only.
+    /// Removes hosts whose retention period has passed. A host whose silence may be that of a partition stays listed.
     void expire(steady_time now);
 
-    /// Records whether this control host knows a leader of the log. To be called at least twice within `absentAfter`.
-    void recordLeader(bool isKnown, steady_time now);
-    /// Returns the hosts that must have applied a change before it is confirmed. Empty when nothing can be confirmed: this process has never
-    /// known a leader for long enough to have heard of all hosts that are in touch.
-    [[nodiscard]] std::optional<required_hosts> requiredForConfirmation(steady_time now) const;
+    /// Records that this control host was in contact with a majority of the log's voters at `contactAt`; times that are not later than one that
+    /// was recorded have no effect. To be called at least twice within `absentAfter`.
+    void recordContact(steady_time contactAt);
 
 private:
     struct record {
@@ -99,9 +93,14 @@
         steady_time lastQueryAt {};
     };
 
+    struct contact_period {
+        steady_time since {};
+        steady_time until {};
+    };
+
     [[nodiscard]] bool isServing(const record &known, steady_time now) const;
-    // True while a leader has been known for as long as it takes all hosts in touch to query this control host. Requires m_lock.
-    [[nodiscard]] bool isInTouch(steady_time now) const;
+    // True when the host was silent for `absentAfter` while this control host was in contact. Requires m_lock.
+    [[nodiscard]] bool isOutOfService(const record &known) const;
 
     entry_host_list_options m_options;
     mutable std::mutex m_lock;
@@ -110,10 +109,10 @@
     std::optional<steady_time> m_lastQueryAt;
     // Since when hosts could query this control host without a pause.
     steady_time m_listeningSince;
-    std::optional<steady_time> m_leaderKnownSince;
-    std::optional<steady_time> m_leaderRecordedAt;
-    // This process has been in touch at some time since its start, so that the list has all hosts of then.
-    bool m_wasInTouch = false;
+    // The latest period of uninterrupted contact with a majority of the log's voters.
+    std::optional<contact_period> m_contact;
+    // One such period lasted for as long as it takes all hosts in touch to query this control host.
+    bool m_isFleetKnown = false;
 };
 
 } // namespace hornbeampick
--- a/include/node/watch_server.h
+++ b/include/node/watch_server.h
@@ -16,7 +16,7 @@
 
 /// Answers the long polls of entry hosts as soon as there is a change they lack, or when their wait is over.
 ///
-/// Also reports when all required entry hosts have acknowledged a position of the announcement log. Thread-safe.
+/// Also reports when all entry hosts that may serve callers have acknowledged a position of the announcement log. Thread-safe.
 class watch_server
 {
 public:
@@ -28,8 +28,9 @@
 
     /// Calls `done` when the query has an answer, at the latest after `query.wait`.
     void handle(watch_query query, answer_done done);
-    /// Calls `done(true)` once all required entry hosts know the announcements up to `position`, or `done(false)` after `wait`.
-    void awaitAcknowledgement(std::uint64_t position, required_hosts required, milliseconds wait, acknowledgement_done done);
+    /// Calls `done(true)` once all entry hosts that may serve callers know the announcements up to `position`, or `done(false)` after `wait`. See
+    /// `entry_host_list::allCaughtUp`.
+    void awaitAcknowledgement(std::uint64_t position, milliseconds wait, acknowledgement_done done);
 
     /// Set the latest state of the log and the peer addresses of its members.
     void setState(const ledger_state &state);
@@ -53,7 +54,6 @@
     };
     struct pending_acknowledgement {
         std::uint64_t position = 0;
-        required_hosts required = required_hosts::present;
         acknowledgement_done done;
         steady_time deadline {};
     };
--- a/src/fleet/entry_host_list.cpp
+++ b/src/fleet/entry_host_list.cpp
@@ -9,6 +9,14 @@
 namespace hornbeampick
 {
 
+namespace
+{
+
+// Contact that is interrupted for longer than `absentAfter` divided by this does not count as continuous.
+constexpr int contactGapDivisor = 2;
+
+} // namespace
+
 entry_host_list::entry_host_list(const entry_host_list_options &options)
     : m_options(options)
     , m_listeningSince(options.startedAt)
@@ -80,13 +88,13 @@
     return known.host.serving && now < known.lastQueryAt + m_options.absentAfter;
 }
 
-bool entry_host_list::allCaughtUp(std::uint64_t position, required_hosts required, steady_time now) const
+bool entry_host_list::allCaughtUp(std::uint64_t position, steady_time now) const
 {
     const std::lock_guard guard(m_lock);
     std::size_t present = 0;
     for (const auto &[name, known] : m_records) {
         if (now >= known.lastQueryAt + m_options.absentAfter) {
-            if (required == required_hosts::includingAbsent) {
+            if (!isOutOfService(known)) {
                 return false;
             }
             continue;
@@ -96,7 +104,13 @@
             return false;
         }
     }
-    return present > 0;
+    return m_isFleetKnown && present > 0;
+}
+
+bool entry_host_list::isFleetKnown() const
+{
+    const std::lock_guard guard(m_lock);
+    return m_isFleetKnown;
 }
 
 std::uint32_t entry_host_list::countQuietFor(milliseconds age, steady_time now) const
@@ -109,7 +123,11 @@
 {
     const auto absent = countQuietFor(m_options.absentAfter, now);
     const std::lock_guard guard(m_lock);
-    return {.listed = static_cast<std::uint32_t>(m_records.size()), .absent = absent, .knowsLeader = m_leaderKnownSince.has_value()};
+    entry_host_presence known {.listed = static_cast<std::uint32_t>(m_records.size()), .absent = absent};
+    if (m_contact) {
+        known.contactAge = std::chrono::duration_cast<milliseconds>(now - m_contact->until);
+    }
+    return known;
 }
 
 std::uint32_t entry_host_list::count() const
@@ -137,39 +155,25 @@
 void entry_host_list::expire(steady_time now)
 {
     const std::lock_guard guard(m_lock);
-    if (isInTouch(now)) {
-        std::erase_if(m_records, [&](const auto &item) { return now >= item.second.lastQueryAt + m_options.removedAfter; });
-    }
+    std::erase_if(m_records, [&](const auto &item) { return now >= item.second.lastQueryAt + m_options.removedAfter && isOutOfService(item.second); });
 }
 
-void entry_host_list::recordLeader(bool isKnown, steady_time now)
+void entry_host_list::recordContact(steady_time contactAt)
 {
     const std::lock_guard guard(m_lock);
-    // A process that was suspended may have missed the queries of others since.
-    const bool hasPaused = m_leaderRecordedAt && now >= *m_leaderRecordedAt + m_options.absentAfter;
-    m_leaderRecordedAt = now;
-    if (!isKnown || hasPaused) {
-        m_leaderKnownSince.reset();
+    const bool isFirst = !m_contact && contactAt > steady_time {};
+    if (isFirst || (m_contact && contactAt > m_contact->until + m_options.absentAfter / contactGapDivisor)) {
+        m_contact = {.since = contactAt, .until = contactAt};
     }
-    if (isKnown && !m_leaderKnownSince) {
-        m_leaderKnownSince = now;
-    }
-    m_wasInTouch = m_wasInTouch || isInTouch(now);
-}
-
-std::optional<required_hosts> entry_host_list::requiredForConfirmation(steady_time now) const
-{
-    const std::lock_guard guard(m_lock);
-    if (isInTouch(now)) {
-        return required_hosts::present;
+    if (m_contact) {
+        m_contact->until = std::max(m_contact->until, contactAt);
+        m_isFleetKnown = m_isFleetKnown || m_contact->until >= m_contact->since + m_options.absentAfter;
     }
-    // A host that is cut off from the log's leader may also be cut off from entry hosts that have not queried it lately.
-    return m_wasInTouch ? std::optional(required_hosts::includingAbsent) : std::nullopt;
 }
 
-bool entry_host_list::isInTouch(steady_time now) const
+bool entry_host_list::isOutOfService(const record &known) const
 {
-    return m_leaderKnownSince && now >= *m_leaderKnownSince + m_options.absentAfter;
+    return m_contact && m_contact->until >= std::max(known.lastQueryAt, m_contact->since) + m_options.absentAfter;
 }
 
 } // namespace hornbeampick
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -158,7 +158,7 @@
         if (state < upstream_state::draining) {
             co_return success();
         }
-        m_hosts.recordLeader(knowsLeader(), m_clock.now());
+        m_hosts.recordContact(m_replica->view().confirmedAt);
         co_return co_await m_departures->confirm(instance, position);
     }
 
@@ -305,12 +305,6 @@
         co_return success();
     }
 
-    [[nodiscard]] bool knowsLeader() const
-    {
-        const auto view = m_replica->view();
-        return view.role == replica_role::leader || view.leader.has_value();
-    }
-
     asio::awaitable<void> runMaintenance()
     {
         asio::steady_timer timer(co_await asio::this_coro::executor);
@@ -319,9 +313,9 @@
             if (m_announcements.expire(now)) {
                 m_persister->notifyChanged();
             }
-            m_hosts.recordLeader(knowsLeader(), now);
-            m_hosts.expire(now);
             const auto view = m_replica->view();
+            m_hosts.recordContact(view.confirmedAt);
+            m_hosts.expire(now);
             m_watchServer.setConfirmedAt(view.confirmedAt);
             m_quotaServer.setView(view);
             m_watchServer.setGrantor(m_quotaServer.isGranting() ? m_settings->rpc() : view.leader ? view.leader->address : std::string());
--- a/src/node/departure_confirmer.cpp
+++ b/src/node/departure_confirmer.cpp
@@ -22,15 +22,11 @@
 boost::asio::awaitable<status> departure_confirmer::confirm(instance_name instance, std::uint64_t position)
 {
     const auto startedAt = m_parts.clock.now();
-    const auto required = m_parts.hosts.requiredForConfirmation(startedAt);
-    if (!required) {
+    if (!m_parts.hosts.isFleetKnown()) {
         logEvent(log_level::warning, "leaving-not-confirmed", {{"instance", instance.string()}, {"known", false}, {"fleetKnown", false}});
         co_return make_error_code(errc::notConfirmed);
     }
-    const auto before = m_parts.hosts.presence(startedAt);
-    auto start = [this, position, &required](std::function<void(bool)> done) {
-        m_parts.watchServer.awaitAcknowledgement(position, *required, confirmTimeout, std::move(done));
-    };
+    auto start = [this, position](std::function<void(bool)> done) { m_parts.watchServer.awaitAcknowledgement(position, confirmTimeout, std::move(done)); };
     const bool isAcknowledged = co_await awaitCallback<bool>(start);
     auto startSave = [this, position, deadline = startedAt + confirmTimeout](std::function<void(bool)> done) {
         m_parts.saver.awaitSaved(position, deadline, std::move(done));
@@ -39,20 +35,18 @@
     if (isAcknowledged) {
         isSaved = co_await awaitCallback<bool>(startSave);
     }
-    if (!isSaved) {
-        logEvent(log_level::warning, "leaving-not-confirmed", {{"instance", instance.string()}, {"known", isAcknowledged}});
-        co_return make_error_code(errc::notConfirmed);
-    }
     const auto now = m_parts.clock.now();
-    const auto after = m_parts.hosts.presence(now);
-    logEvent(log_level::info, "leaving-confirmed",
+    const auto presence = m_parts.hosts.presence(now);
+    logEvent(isSaved ? log_level::info : log_level::warning, isSaved ? "leaving-confirmed" : "leaving-not-confirmed",
              {{"instance", instance.string()},
+              {"known", isAcknowledged},
               {"waitedMs", static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(now - startedAt).count())},
-              {"listed", static_cast<std::int64_t>(after.listed)},
-              {"absentBefore", static_cast<std::int64_t>(before.absent)},
-              {"absent", static_cast<std::int64_t>(after.absent)},
-              {"leaderKnownBefore", before.knowsLeader},
-              {"leaderKnown", after.knowsLeader}});
+              {"listed", static_cast<std::int64_t>(presence.listed)},
+              {"absent", static_cast<std::int64_t>(presence.absent)},
+              {"contactAgeMs", static_cast<std::int64_t>(presence.contactAge.count())}});
+    if (!isSaved) {
+        co_return make_error_code(errc::notConfirmed);
+    }
     co_return success();
 }
 
--- a/src/node/watch_server.cpp
+++ b/src/node/watch_server.cpp
@@ -38,11 +38,11 @@
     completeReady();
 }
 
-void watch_server::awaitAcknowledgement(std::uint64_t position, required_hosts required, milliseconds wait, acknowledgement_done done)
+void watch_server::awaitAcknowledgement(std::uint64_t position, milliseconds wait, acknowledgement_done done)
 {
     {
         const std::lock_guard guard(m_lock);
-        m_pendingAcknowledgements.push_back({.position = position, .required = required, .done = std::move(done), .deadline = m_clock.now() + wait});
+        m_pendingAcknowledgements.push_back({.position = position, .done = std::move(done), .deadline = m_clock.now() + wait});
     }
     completeReady();
 }
@@ -93,7 +93,7 @@
         }
         for (auto it = m_pendingAcknowledgements.begin(); it != m_pendingAcknowledgements.end();) {
             const auto next = std::next(it);
-            if (m_closed || now >= it->deadline || m_hosts.allCaughtUp(it->position, it->required, now)) {
+            if (m_closed || now >= it->deadline || m_hosts.allCaughtUp(it->position, now)) {
                 acknowledged.splice(acknowledged.end(), m_pendingAcknowledgements, it);
             }
             it = next;
@@ -103,7 +103,7 @@
         each.done(makeAnswer(each));
     }
     for (const auto &each : acknowledged) {
-        each.done(m_hosts.allCaughtUp(each.position, each.required, now));
+        each.done(m_hosts.allCaughtUp(each.position, now));
     }
 }
 
--- a/tests/fleet/announcement_test.cpp
+++ b/tests/fleet/announcement_test.cpp
@@ -410,26 +410,39 @@
 {
     manual_clock clock;
     entry_host_list hosts({.absentAfter = milliseconds(1500)});
-    REQUIRE_FALSE(hosts.allCaughtUp(0, required_hosts::present, clock.now()));
+    const auto passInContact = [&](milliseconds time) {
+        for (milliseconds passed {0}; passed < time; passed += milliseconds(500)) {
+            clock.advance(milliseconds(500));
+            hosts.recordContact(clock.now());
+        }
+    };
+    hosts.recordContact(clock.now());
+    passInContact(milliseconds(1500));
+    REQUIRE_FALSE(hosts.allCaughtUp(0, clock.now()));
     hosts.recordProgress(entryHost("a", "north"), 7, clock.now());
     hosts.recordProgress(entryHost("b", "north"), 6, clock.now());
-    REQUIRE_FALSE(hosts.allCaughtUp(7, required_hosts::present, clock.now()));
+    REQUIRE_FALSE(hosts.allCaughtUp(7, clock.now()));
     hosts.recordProgress(entryHost("b", "north"), 7, clock.now());
-    REQUIRE(hosts.allCaughtUp(7, required_hosts::present, clock.now()));
+    REQUIRE(hosts.allCaughtUp(7, clock.now()));
     // A restarted host has no announcements.
     auto restarted = entryHost("b", "north");
     restarted.incarnation = 2;
     hosts.recordProgress(restarted, 0, clock.now());
-    REQUIRE_FALSE(hosts.allCaughtUp(7, required_hosts::present, clock.now()));
-    // An absent host does not hold up the confirmation, since it forwards no requests either.
-    clock.advance(milliseconds(1000));
+    REQUIRE_FALSE(hosts.allCaughtUp(7, clock.now()));
+    passInContact(milliseconds(1000));
     hosts.recordProgress(entryHost("a", "north"), 7, clock.now());
+    // Without contact, this control host itself may be partitioned from the absent host.
     clock.advance(milliseconds(1000));
-    REQUIRE(hosts.allCaughtUp(7, required_hosts::present, clock.now()));
-    // Without a known leader, this control host itself may be partitioned from the absent host.
-    REQUIRE_FALSE(hosts.allCaughtUp(7, required_hosts::includingAbsent, clock.now()));
+    REQUIRE_FALSE(hosts.allCaughtUp(7, clock.now()));
+    hosts.recordContact(clock.now() - milliseconds(600));
+    REQUIRE_FALSE(hosts.allCaughtUp(7, clock.now()));
+    // An absent host does not hold up the confirmation, since it forwards no requests either.
+    hosts.recordContact(clock.now() - milliseconds(500));
+    REQUIRE(hosts.allCaughtUp(7, clock.now()));
+    hosts.recordProgress(restarted, 6, clock.now());
+    REQUIRE_FALSE(hosts.allCaughtUp(7, clock.now()));
     hosts.recordProgress(restarted, 7, clock.now());
-    REQUIRE(hosts.allCaughtUp(7, required_hosts::includingAbsent, clock.now()));
+    REQUIRE(hosts.allCaughtUp(7, clock.now()));
 }
 
 TEST_CASE("announcements: what an earlier process knew is told again, and falls silent like all else", "[announcements]")
@@ -539,36 +552,43 @@
 {
     manual_clock clock;
     entry_host_list hosts({.absentAfter = milliseconds(1500), .removedAfter = milliseconds(15000), .startedAt = clock.now()});
-    const auto pass = [&](milliseconds time, bool isLeaderKnown, std::initializer_list<const char *> names) {
+    const auto pass = [&](milliseconds time, bool isInContact, std::initializer_list<const char *> names) {
         for (milliseconds passed {0}; passed < time; passed += milliseconds(500)) {
+            clock.advance(milliseconds(500));
             for (const auto *name : names) {
                 hosts.recordProgress({.host = host_name(name), .region = region_name("r"), .incarnation = 1}, 5, clock.now());
             }
-            hosts.recordLeader(isLeaderKnown, clock.now());
+            if (isInContact) {
+                hosts.recordContact(clock.now());
+            }
             hosts.expire(clock.now());
-            clock.advance(milliseconds(500));
         }
     };
     // Nothing is known of the fleet yet.
     pass(milliseconds(1000), false, {"near"});
-    CHECK(!hosts.requiredForConfirmation(clock.now()));
-    pass(milliseconds(1000), true, {"near"});
-    CHECK(!hosts.requiredForConfirmation(clock.now()));
-    pass(milliseconds(2000), true, {"near", "far"});
-    CHECK(hosts.requiredForConfirmation(clock.now()) == required_hosts::present);
+    CHECK(!hosts.isFleetKnown());
+    pass(milliseconds(1500), true, {"near"});
+    CHECK(!hosts.isFleetKnown());
+    CHECK(!hosts.allCaughtUp(5, clock.now()));
+    pass(milliseconds(1500), true, {"near", "far"});
+    CHECK(hosts.isFleetKnown());
+    CHECK(hosts.allCaughtUp(5, clock.now()));
     // Cut off from the leader and from one host for longer than the retention period.
     pass(milliseconds(20000), false, {"near"});
-    CHECK(hosts.requiredForConfirmation(clock.now()) == required_hosts::includingAbsent);
     CHECK(hosts.count() == 2);
-    CHECK(!hosts.allCaughtUp(5, required_hosts::includingAbsent, clock.now()));
+    CHECK(!hosts.allCaughtUp(5, clock.now()));
     // In touch again: the list is that of the hosts that are in touch.
-    pass(milliseconds(1000), true, {"near"});
-    CHECK(hosts.requiredForConfirmation(clock.now()) == required_hosts::includingAbsent);
-    pass(milliseconds(2000), true, {"near"});
-    CHECK(hosts.requiredForConfirmation(clock.now()) == required_hosts::present);
+    pass(milliseconds(1500), true, {"near"});
+    CHECK(!hosts.allCaughtUp(5, clock.now()));
+    CHECK(hosts.count() == 2);
+    pass(milliseconds(500), true, {"near"});
+    CHECK(hosts.allCaughtUp(5, clock.now()));
     CHECK(hosts.count() == 1);
     // After a pause of the process too.
+    pass(milliseconds(1500), true, {"near", "far"});
     clock.advance(milliseconds(4000));
-    hosts.recordLeader(true, clock.now());
-    CHECK(hosts.requiredForConfirmation(clock.now()) == required_hosts::includingAbsent);
+    pass(milliseconds(1500), true, {"near"});
+    CHECK(!hosts.allCaughtUp(5, clock.now()));
+    pass(milliseconds(500), true, {"near"});
+    CHECK(hosts.allCaughtUp(5, clock.now()));
 }
--- a/tests/node/departure_confirmer_test.cpp
+++ b/tests/node/departure_confirmer_test.cpp
@@ -19,8 +19,6 @@
 constexpr std::uint64_t controlIncarnation = 7;
 constexpr milliseconds step {50};
 constexpr milliseconds queryInterval {500};
-// A leader that loses its majority still counts itself as the leader for this long.
-constexpr milliseconds leaderMemory {1200};
 
 class saver_mock final : public announcement_saver
 {
@@ -68,9 +66,8 @@
         while (clock.now() < end) {
             clock.advance(step);
             if (!isCutOff) {
-                m_lastContactAt = clock.now();
+                hosts.recordContact(clock.now());
             }
-            recordContact();
             if (clock.now().time_since_epoch() % queryInterval == milliseconds(0)) {
                 query("near");
                 if (!isCutOff) {
@@ -105,18 +102,12 @@
         const auto ended = co_await confirmer.confirm(std::move(instance), position);
         outcome = ended ? errc::ok : static_cast<errc>(ended.error().value());
     }
-    void recordContact()
-    {
-        hosts.recordLeader(clock.now() < m_lastContactAt + leaderMemory, clock.now());
-    }
     void query(const char *name)
     {
         const entry_host watcher {.host = host_name(name), .region = region_name("r"), .incarnation = 1};
         const auto position = log.position();
         server.handle({.watcher = watcher, .source = controlIncarnation, .position = position, .wait = milliseconds(0)}, [](const watch_answer &) {});
     }
-
-    steady_time m_lastContactAt {};
 };
 
 } // namespace
@@ -135,3 +126,18 @@
     }
     CHECK(fixture.outcome == errc::ok);
 }
+
+// Guards against departures that are acknowledged because entry hosts beyond a cut fall silent during the wait (review/7).
+TEST_CASE("departure_confirmer: a control host that is cut off acknowledges no departure that entry hosts beyond the cut have not heard of", "[node][drain]")
+{
+    // Before and after the hosts beyond the cut count as silent (1050 ms after it), and after the leader of the log counts as lost.
+    const auto sinceCut = GENERATE(milliseconds(100), milliseconds(850), milliseconds(1100), milliseconds(1350), milliseconds(5000));
+    CAPTURE(sinceCut.count());
+    departure_fixture fixture;
+    fixture.pass(milliseconds(450));
+    fixture.isCutOff = true;
+    fixture.pass(sinceCut);
+    fixture.leave();
+    fixture.pass(seconds(1));
+    CHECK(fixture.outcome == errc::notConfirmed);
+}
