node: save a departure before the entry hosts are asked, not after

Cause: confirm() waited for the entry hosts first and for the disk afterwards, up to 0.7 s in all, and acknowledged by what the entry hosts had told before the save. One that started meanwhile and asked without the departure was known to the control host, and was not waited for.

Change: the save comes first, the entry hosts last, by the same deadline. Both begin with the change, so that they overlap as before.

Test: 'departure_confirmer: an entry host that starts while the departure is saved has to hear of it too', red before (acknowledged with the save).

--- a/include/node/watch_server.h
+++ b/include/node/watch_server.h
@@ -28,9 +28,9 @@
 
     /// Calls `done` when the query has an answer, at the latest after `query.wait`.
     void handle(watch_query query, answer_done done);
-    /// Calls `done(true)` once all entry hosts that may serve callers know the announcements up to `position`, or `done(false)` after `wait`. See
-    /// `entry_host_list::allCaughtUp`.
-    void awaitAcknowledgement(std::uint64_t position, milliseconds wait, acknowledgement_done done);
+    /// Calls `done(true)` once all entry hosts that may serve callers know the announcements up to `position`, or `done(false)` at `deadline`.
+    /// See `entry_host_list::allCaughtUp`.
+    void awaitAcknowledgement(std::uint64_t position, steady_time deadline, acknowledgement_done done);
 
     /// Set the latest state of the log and the peer addresses of its members.
     void setState(const ledger_state &state);
--- a/src/node/watch_server.cpp
+++ b/src/node/watch_server.cpp
@@ -38,11 +38,11 @@
     completeReady();
 }
 
-void watch_server::awaitAcknowledgement(std::uint64_t position, milliseconds wait, acknowledgement_done done)
+void watch_server::awaitAcknowledgement(std::uint64_t position, steady_time deadline, acknowledgement_done done)
 {
     {
         const std::lock_guard guard(m_lock);
-        m_pendingAcknowledgements.push_back({.position = position, .done = std::move(done), .deadline = m_clock.now() + wait});
+        m_pendingAcknowledgements.push_back({.position = position, .done = std::move(done), .deadline = deadline});
     }
     completeReady();
 }
--- a/tests/node/departure_confirmer_test.cpp
+++ b/tests/node/departure_confirmer_test.cpp
@@ -53,6 +53,8 @@
     boost::asio::io_context context;
     // While set, neither the other control hosts nor the entry host "far" can be reached.
     bool isCutOff = false;
+    // While set, the process of the entry host "far" does not run.
+    bool isFarDown = false;
     std::optional<errc> outcome;
 
     departure_fixture()
@@ -69,9 +71,9 @@
                 hosts.recordContact(clock.now());
             }
             if (clock.now().time_since_epoch() % queryInterval == milliseconds(0)) {
-                query("near");
-                if (!isCutOff) {
-                    query("far");
+                query("near", log.position());
+                if (!isCutOff && !isFarDown) {
+                    query("far", log.position());
                 }
             }
             server.completeReady();
@@ -96,18 +98,19 @@
         boost::asio::co_spawn(context, confirm(instance, position), boost::asio::detached);
     }
 
+    // An entry host asks for what comes after `position`.
+    void query(const char *name, std::uint64_t position)
+    {
+        const entry_host watcher {.host = host_name(name), .region = region_name("r"), .incarnation = 1};
+        server.handle({.watcher = watcher, .source = controlIncarnation, .position = position, .wait = milliseconds(0)}, [](const watch_answer &) {});
+    }
+
 private:
     boost::asio::awaitable<void> confirm(instance_name instance, std::uint64_t position)
     {
         const auto ended = co_await confirmer.confirm(std::move(instance), position);
         outcome = ended ? errc::ok : static_cast<errc>(ended.error().value());
     }
-    void query(const char *name)
-    {
-        const entry_host watcher {.host = host_name(name), .region = region_name("r"), .incarnation = 1};
-        const auto position = log.position();
-        server.handle({.watcher = watcher, .source = controlIncarnation, .position = position, .wait = milliseconds(0)}, [](const watch_answer &) {});
-    }
 };
 
 } // namespace
@@ -141,3 +144,24 @@
     fixture.pass(seconds(1));
     CHECK(fixture.outcome == errc::notConfirmed);
 }
+
+// Guards against departures that are acknowledged by what was known before they were saved.
+TEST_CASE("departure_confirmer: an entry host that starts while the departure is saved has to hear of it too", "[node][drain]")
+{
+    departure_fixture fixture;
+    fixture.isFarDown = true;
+    fixture.pass(milliseconds(2400));
+    fixture.saver.isStalled = true;
+    fixture.leave();
+    // Long enough for the other entry host to hear of it.
+    fixture.pass(milliseconds(150));
+    fixture.query("far", 0);
+    fixture.saver.isStalled = false;
+    const bool hears = GENERATE(false, true);
+    CAPTURE(hears);
+    fixture.isFarDown = !hears;
+    fixture.pass(step);
+    CHECK(!fixture.outcome);
+    fixture.pass(milliseconds(600));
+    CHECK(fixture.outcome == (hears ? errc::ok : errc::notConfirmed));
+}
