replica: a follower confirms no later than a majority has answered its leader

What callers would see: restricted requests go on in a region that a newer configuration forbids, by up to 1.2 s longer than the lease allows, at entry hosts beside a follower that was cut off together with the leader.

Cause: a follower took each message of its leader for a confirmation that its state is the newest. A leader that has lost its majority goes on for two election timeouts.

Change: appends tell how much earlier the leader's confirmation is than its receipt of what it echoes; the follower subtracts that. Not tied to the clocks of hosts, and 0 from former builds.

Test: 'replica: a follower that is cut off together with the leader confirms nothing later than the contact to a majority', red before.

--- a/include/replica/replica_core.h
+++ b/include/replica/replica_core.h
@@ -51,6 +51,8 @@
     steady_time lastReply {};
     // The time that the peer told last, by its own clock, which begins anew when its machine does.
     steady_time peerSentAt {};
+    // When that was received.
+    steady_time peerHeardAt {};
     // No further snapshot is sent before this time.
     steady_time snapshotUntil {};
     // The last of the entries in flight, which are not sent again, nor others, before `retryAt` unless they are acknowledged or rejected.
@@ -132,8 +134,8 @@
     /// Returns true when this replica leads and has committed an entry of its own term.
     [[nodiscard]] bool hasCommittedInTerm() const;
     /// Returns a time up to which the committed entries of this replica are known to be all that were acknowledged: by replies of a
-    /// majority when it leads, otherwise by the last message of the leader with whose commit index this replica is up to date. The epoch
-    /// of the clock when there was none.
+    /// majority when it leads, otherwise by the last message of the leader with whose commit index this replica is up to date, and no later than
+    /// the replies of a majority to that leader. The epoch of the clock when there was none.
     [[nodiscard]] steady_time confirmedAt(steady_time now) const;
     /// Asserts the invariants in debug builds; no effect in release builds.
     void validate() const;
--- a/src/codec/replica_codec.cpp
+++ b/src/codec/replica_codec.cpp
@@ -3,6 +3,8 @@
 #include "core/overloaded.h"
 #include "repeated_codec.h"
 
+#include <algorithm>
+
 namespace hornbeampick
 {
 
@@ -459,6 +461,14 @@
     return steady_time(microseconds(value));
 }
 
+// Longer than any machine is up, and short enough to be subtracted from a time.
+constexpr microseconds maxConfirmationLag = std::chrono::hours(100'000);
+
+microseconds decodeLag(std::uint64_t value)
+{
+    return microseconds(static_cast<std::int64_t>(std::min(value, static_cast<std::uint64_t>(maxConfirmationLag.count()))));
+}
+
 } // namespace
 
 schema::replica_message encode(const replica_message &value)
@@ -478,6 +488,7 @@
     }
     message.set_sent_at_us(encodeTime(value.sentAt));
     message.set_echo_us(encodeTime(value.echo));
+    message.set_confirmation_lag_us(static_cast<std::uint64_t>(value.confirmationLag.count()));
     return message;
 }
 
@@ -496,6 +507,7 @@
         .snapshot = std::nullopt,
         .sentAt = decodeTime(value.sent_at_us()),
         .echo = decodeTime(value.echo_us()),
+        .confirmationLag = decodeLag(value.confirmation_lag_us()),
     };
     if (value.has_snapshot()) {
         message.snapshot = decode(value.snapshot());
--- a/src/replica/replica_core.cpp
+++ b/src/replica/replica_core.cpp
@@ -280,7 +280,9 @@
     commitTo(std::min(message.commitIndex, answer.lastIndex));
     // Until a new leader has committed an entry of its term, its commit index may lack entries that were acknowledged before.
     if (message.commitIndex <= m_commitIndex && termAt(m_commitIndex) == message.term) {
-        m_confirmedAt = std::max(m_confirmedAt, contactTime(message, now).value_or(m_confirmedAt));
+        // A leader that was cut off together with this replica goes on for a while without a majority.
+        const auto contactAt = contactTime(message, now);
+        m_confirmedAt = std::max(m_confirmedAt, contactAt ? *contactAt - message.confirmationLag : m_confirmedAt);
     }
     reply(message, std::move(answer), now);
 }
@@ -298,6 +300,7 @@
     auto &progress = found->second;
     progress.lastReply = std::max(progress.lastReply, contactTime(message, now).value_or(progress.lastReply));
     progress.peerSentAt = message.sentAt;
+    progress.peerHeardAt = now;
     if (!message.granted) {
         progress.retryAt = {};
         // A peer may have lost entries that it had acknowledged, so its match index can move back. A delayed rejection costs only a retransmission.
@@ -412,6 +415,7 @@
     message.commitIndex = m_commitIndex;
     message.sentAt = now;
     message.echo = progress.peerSentAt;
+    message.confirmationLag = std::max(microseconds(0), std::chrono::ceil<microseconds>(progress.peerHeardAt - confirmedAt(now)));
     if (now >= progress.retryAt) {
         attachEntries(message, progress, now);
     }
--- a/tests/replica/replica_engine_test.cpp
+++ b/tests/replica/replica_engine_test.cpp
@@ -844,6 +844,32 @@
     CHECK(cluster.engine(leader)->view().confirmedAt <= suspendedAt);
 }
 
+// Guards against a follower that confirms by the word of a leader that has lost its majority and has not noticed yet.
+TEST_CASE("replica: a follower that is cut off together with the leader confirms nothing later than the contact to a majority", "[replica][home]")
+{
+    replica_cluster cluster(5, firstSeed);
+    cluster.run(milliseconds(1000));
+    const auto leader = *cluster.leader();
+    const auto follower = (leader + 1) % cluster.size();
+    for (std::size_t host = 0; host < cluster.size(); ++host) {
+        const bool isBeyondCut = host != leader && host != follower;
+        for (const auto near : {leader, follower}) {
+            cluster.cut(near, host, isBeyondCut);
+            cluster.cut(host, near, isBeyondCut);
+        }
+    }
+    const auto cutAt = cluster.clock().now();
+    // The leader steps down two election timeouts after the cut.
+    cluster.run(milliseconds(150));
+    CHECK(cluster.engine(follower)->view().leader.has_value());
+    CHECK(cluster.engine(follower)->view().confirmedAt <= cutAt);
+    cluster.healAll();
+    cluster.run(milliseconds(3000));
+    for (std::size_t host = 0; host < cluster.size(); ++host) {
+        CHECK(cluster.confirmedAge(host) < milliseconds(300));
+    }
+}
+
 TEST_CASE("replica: a host at another address takes the place of a voter that is gone for good", "[replica]")
 {
     replica_cluster cluster(4, firstSeed, {.bootstrapHosts = 3});
