--- a/include/fleet/entry_host_list.h
+++ b/include/fleet/entry_host_list.h
@@ -73,6 +73,7 @@
     [[nodiscard]] std::uint32_t count() const;
     /// Returns the number of listed hosts without a watch query for `age` or longer.
     [[nodiscard]] std::uint32_t countQuietFor(milliseconds age, steady_time now) const;
+    /// Returns how many hosts are listed and absent, and the age of the contact that proves absence.
     [[nodiscard]] entry_host_presence presence(steady_time now) const;
     /// Returns the position of `host` among the listed hosts of its region, absent ones included, from 1 on; 0 when it is not listed.
     [[nodiscard]] std::uint32_t placeInRegion(const entry_host &host) const;
--- a/include/node/departure_confirmer.h
+++ b/include/node/departure_confirmer.h
@@ -23,8 +23,8 @@
 public:
     explicit departure_confirmer(const departure_confirmer_parts &parts);
 
-    /// Waits until the departure of `instance`, which has the given position in the announcement log, holds. Errors: notConfirmed when it does not
-    /// within 700 ms, or cannot be known to.
+    /// Waits until the departure of `instance`, which has the given position in the announcement log, is saved and known to all entry hosts that may
+    /// serve callers. Errors: notConfirmed when that takes longer than 700 ms, or not all entry hosts are known yet.
     boost::asio::awaitable<status> confirm(instance_name instance, std::uint64_t position);
 
 private:
--- a/include/replica/replica_types.h
+++ b/include/replica/replica_types.h
@@ -204,8 +204,8 @@
     // from the other side, which is a time of the receiver's clock. The epoch of the clock from releases that do not tell.
     steady_time sentAt {};
     steady_time echo {};
-    // Appends: how much earlier than the receipt of the message that `echo` tells of the state of the leader was confirmed by a majority; 0 when it was not
-    // earlier, and from releases that do not tell.
+    // Appends: the time from the leader's last confirmation by a majority to its receipt of the message that `echo` tells of; 0 when the confirmation is
+    // the later one, and from releases that do not tell.
     microseconds confirmationLag {0};
 };
 
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -158,7 +158,6 @@
         if (state < upstream_state::draining) {
             co_return success();
         }
-        m_hosts.recordContact(m_replica->view().confirmedAt);
         co_return co_await m_departures->confirm(instance, position);
     }
 
